--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/SerialExecutor.java
@@ -0,0 +1,50 @@
+package io.laburnummoor.core.request;
+
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+/**
+ * Runs the tasks of one request one after another, in the order of their submission, without a lock or a thread of its
+ * own.
+ *
+ * <p>The thread that raises the number of pending tasks from zero runs all of them; other threads only add to the
+ * queue and go on.
+ */
+public final class SerialExecutor implements Executor {
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger pendingCount = new AtomicInteger();
+    private final Consumer<Throwable> failureHandler;
+
+    /** Creates an executor that passes what a task throws to the handler and goes on with the next task. */
+    public SerialExecutor(Consumer<Throwable> failureHandler) {
+        this.failureHandler = failureHandler;
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        tasks.add(task);
+        if (pendingCount.getAndIncrement() == 0) {
+            drain();
+        }
+    }
+
+    private void drain() {
+        do {
+            Runnable task = tasks.poll();
+            if (task != null) {
+                runOne(task);
+            }
+        } while (pendingCount.decrementAndGet() != 0);
+    }
+
+    private void runOne(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error failure) {
+            failureHandler.accept(failure);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/package-info.java
@@ -0,0 +1,5 @@
+/** Types that live as long as one upstream version or one configuration revision. */
+@NullMarked
+package io.laburnummoor.core.version;
+
+import org.jspecify.annotations.NullMarked;
