--- /dev/null
+++ b/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentHandler.java
@@ -0,0 +1,136 @@
+package io.laburnummoor.agent.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.laburnummoor.agent.connection.UpstreamProbe;
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.connection.UpstreamReport;
+import io.laburnummoor.core.process.AnswerJournal;
+import io.laburnummoor.core.request.FinishReason;
+import io.laburnummoor.core.request.JournalEntry;
+import io.laburnummoor.core.request.RequestId;
+import io.laburnummoor.wire.generated.AgentService;
+import io.laburnummoor.wire.generated.AgentStatus;
+import io.laburnummoor.wire.generated.AppendBatch;
+import io.laburnummoor.wire.generated.AppendItem;
+import io.laburnummoor.wire.generated.AppendOutcome;
+import io.laburnummoor.wire.generated.AppendReply;
+import io.laburnummoor.wire.generated.JournalEntryMessage;
+import io.laburnummoor.wire.generated.OpenMode;
+import io.laburnummoor.wire.generated.OpenReply;
+import io.laburnummoor.wire.generated.OpenRequest;
+import io.laburnummoor.wire.request.WireMessages;
+import org.jspecify.annotations.Nullable;
+
+/** Answers the Thrift calls of routers. */
+final class AgentHandler implements AgentService.Iface {
+    /** Age of a router's last call at which it no longer counts as alive. */
+    private static final long WRITER_TIMEOUT_MILLIS = 2_000;
+
+    private final String agentId;
+    private final UpstreamProbe probe;
+    private final AnswerJournal journal;
+    private final Clock clock;
+    private final AtomicBoolean leaving = new AtomicBoolean();
+    private final ConcurrentHashMap<String, Long> writerDeadlinesMillis = new ConcurrentHashMap<>();
+
+    AgentHandler(String agentId, UpstreamProbe probe, AnswerJournal journal, Clock clock) {
+        this.agentId = agentId;
+        this.probe = probe;
+        this.journal = journal;
+        this.clock = clock;
+    }
+
+    /** Announces that the upstream takes no new work any more. */
+    void announceLeaving() {
+        leaving.set(true);
+    }
+
+    @Override
+    public AgentStatus status(String caller) {
+        recordContact(caller);
+        UpstreamReport report = probe.report();
+        return new AgentStatus(
+                agentId,
+                report.agentIncarnation(),
+                report.upstreamAlive(),
+                report.upstreamIncarnation(),
+                leaving.get() || report.leaving(),
+                report.runningCount(),
+                report.waitingCount(),
+                report.version(),
+                report.adapters());
+    }
+
+    @Override
+    public OpenReply openJournal(OpenRequest request) {
+        RequestId id = WireMessages.fromWire(request.getId());
+        JournalEntry found = journal.find(id);
+        OpenReply reply = new OpenReply(true);
+        if (found != null) {
+            reply.setFound(encode(found));
+        }
+        if (request.getMode() == OpenMode.WRITE) {
+            recordContact(request.getWriter());
+            reply.setAccepted(journal.open(
+                    id,
+                    request.getEpoch(),
+                    request.getWriter(),
+                    WireMessages.fromWire(request.getBinding()),
+                    request.getBodyDigest(),
+                    WireMessages.fromWire(request.getTokens())));
+        }
+        return reply;
+    }
+
+    @Override
+    public AppendReply append(AppendBatch batch) {
+        recordContact(batch.getWriter());
+        List<AppendOutcome> outcomes = new ArrayList<>(batch.getItemsSize());
+        for (AppendItem item : batch.getItems()) {
+            outcomes.add(AppendOutcome.valueOf(appendOne(item).name()));
+        }
+        return new AppendReply(outcomes);
+    }
+
+    private AnswerJournal.AppendResult appendOne(AppendItem item) {
+        RequestId id = WireMessages.fromWire(item.getId());
+        AnswerJournal.AppendResult result =
+                journal.append(id, item.getEpoch(), item.getOffset(), WireMessages.fromWire(item.getTokens()));
+        if (result == AnswerJournal.AppendResult.ACKNOWLEDGED && item.isSetFinishReason()) {
+            FinishReason reason = FinishReason.fromWireName(item.getFinishReason());
+            return journal.finish(id, item.getEpoch(), item.getOffset() + item.getTokensSize(), reason);
+        }
+        return result;
+    }
+
+    private JournalEntryMessage encode(JournalEntry entry) {
+        JournalEntryMessage message = new JournalEntryMessage(
+                entry.epoch(),
+                entry.writer(),
+                WireMessages.toWire(entry.binding()),
+                entry.bodyDigest(),
+                WireMessages.toWire(entry.tokens()),
+                isAlive(entry.writer()),
+                true);
+        FinishReason reason = entry.finishReason();
+        if (reason != null) {
+            message.setFinishReason(reason.wireName());
+        }
+        return message;
+    }
+
+    private void recordContact(@Nullable String caller) {
+        if (caller != null) {
+            writerDeadlinesMillis.put(caller, clock.nowMillis() + WRITER_TIMEOUT_MILLIS);
+        }
+    }
+
+    private boolean isAlive(String writer) {
+        Long deadlineMillis = writerDeadlinesMillis.get(writer);
+        return deadlineMillis != null && clock.nowMillis() < deadlineMillis;
+    }
+}
--- /dev/null
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
@@ -0,0 +1,163 @@
+package io.laburnummoor.bench.process;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import io.laburnummoor.bench.request.TokenOracle;
+import io.laburnummoor.core.request.Token;
+
+/**
+ * A stand-in for a model engine: streams tokens of a {@link TokenOracle} at a set pace and can die, pause and leave.
+ */
+public final class EngineStandIn extends HttpStandIn {
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final long PAUSE_POLL_MILLIS = 5;
+    private static final int EXIT_KILLED = 137;
+
+    private final EngineSettings settings;
+    private final long incarnation;
+    private final SplittableRandom random;
+    private final AtomicInteger runningCount = new AtomicInteger();
+    private final AtomicLong generatedTokens = new AtomicLong();
+    private final AtomicLong prefilledTokens = new AtomicLong();
+    private volatile boolean dead;
+    private volatile boolean paused;
+    private volatile boolean leaving;
+
+    /** Creates an engine; port 0 takes a free port. */
+    public EngineStandIn(String host, int port, EngineSettings settings) {
+        super(host, port);
+        this.settings = settings;
+        this.random = new SplittableRandom(settings.seed());
+        this.incarnation = random.nextLong() & Long.MAX_VALUE;
+        route("/v1/completions", this::complete);
+        route("/health", this::health);
+        route("/control/exit", exchange -> Runtime.getRuntime().halt(EXIT_KILLED));
+    }
+
+    /** Breaks all connections and refuses new ones, as a dead process does. */
+    public void die() {
+        dead = true;
+        stop();
+    }
+
+    /** Stops generating without closing connections, until {@link #unpause()}. */
+    public void pause() {
+        paused = true;
+    }
+
+    /** Goes on after a pause. */
+    public void unpause() {
+        paused = false;
+    }
+
+    /** Refuses new work from now on. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Returns the number of streams that run now. */
+    public int runningCount() {
+        return runningCount.get();
+    }
+
+    /** Returns the number of tokens generated so far. */
+    public long generatedTokens() {
+        return generatedTokens.get();
+    }
+
+    /** Returns the number of prompt and prefix tokens processed so far. */
+    public long prefilledTokens() {
+        return prefilledTokens.get();
+    }
+
+    private void health(HttpExchange exchange) throws IOException {
+        awaitUnpaused();
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("incarnation", incarnation);
+        body.put("running", runningCount.get());
+        body.put("waiting", 0);
+        body.put("version", settings.version());
+        body.put("leaving", leaving);
+        body.putArray("adapters");
+        writeJson(exchange, STATUS_OK, body);
+    }
+
+    private void complete(HttpExchange exchange) throws IOException {
+        JsonNode request = readJson(exchange);
+        if (leaving) {
+            writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("code", "leaving"));
+            return;
+        }
+        runningCount.incrementAndGet();
+        try {
+            stream(exchange, request);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        } finally {
+            runningCount.decrementAndGet();
+        }
+    }
+
+    private void stream(HttpExchange exchange, JsonNode request) throws IOException, InterruptedException {
+        String prompt = request.path("prompt").asText();
+        JsonNode prefix = request.path("prefix_token_ids");
+        int maxTokens = request.path("max_tokens").asInt();
+        TokenOracle oracle = new TokenOracle(settings.version(), prompt);
+        long state = oracle.start();
+        for (JsonNode id : prefix) {
+            state = oracle.advance(state, id.asInt());
+        }
+        prefilledTokens.addAndGet(prompt.split(" ").length + prefix.size());
+        exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+        exchange.sendResponseHeaders(STATUS_OK, 0);
+        OutputStream output = exchange.getResponseBody();
+        Thread.sleep(settings.firstTokenMillis());
+        for (int offset = prefix.size(); offset < maxTokens; offset++) {
+            awaitUnpaused();
+            Token token = oracle.successor(state, nextVariant());
+            state = oracle.advance(state, token.id());
+            generatedTokens.incrementAndGet();
+            write(
+                    output,
+                    MAPPER.createObjectNode()
+                            .put("offset", offset)
+                            .put("token_id", token.id())
+                            .put("text", token.text()));
+            Thread.sleep(settings.gapMillis());
+        }
+        awaitUnpaused();
+        write(output, MAPPER.createObjectNode().put("offset", maxTokens).put("finish_reason", "length"));
+    }
+
+    private synchronized int nextVariant() {
+        return random.nextInt(TokenOracle.VARIANTS);
+    }
+
+    private void awaitUnpaused() throws IOException {
+        try {
+            while (paused && !dead) {
+                Thread.sleep(PAUSE_POLL_MILLIS);
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            throw new IOException("engine stopped", stopped);
+        }
+        if (dead) {
+            throw new IOException("engine is dead");
+        }
+    }
+
+    private static void write(OutputStream output, ObjectNode event) throws IOException {
+        output.write(("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+        output.flush();
+    }
+}
--- /dev/null
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -0,0 +1,272 @@
+package io.laburnummoor.bench.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import com.google.inject.Key;
+import com.google.inject.TypeLiteral;
+import io.laburnummoor.agent.process.AgentModule;
+import io.laburnummoor.agent.process.AgentSettings;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.core.connection.RouterPeer;
+import io.laburnummoor.core.connection.Upstream;
+import io.laburnummoor.core.process.KeyValueStore;
+import io.laburnummoor.core.version.ConfigSet;
+import io.laburnummoor.core.version.OrganisationDeclaration;
+import io.laburnummoor.core.version.ServiceDeclaration;
+import io.laburnummoor.router.process.ReadinessCheck;
+import io.laburnummoor.router.process.RouterModule;
+import io.laburnummoor.router.process.RouterSettings;
+import io.laburnummoor.router.version.ConfigFollower;
+import io.laburnummoor.wire.process.EtcdKeyValueStore;
+import io.laburnummoor.wire.process.JsonHttp;
+import io.laburnummoor.wire.version.ConfigCodec;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * A deployment in one JVM on loopback: a platform, engines with their agents, and routers, each with real sockets.
+ *
+ * <pre>{@code
+ * try (LocalDeployment deployment = new LocalDeployment(List.of("sapporo", "niseko"), 2, 1, settings)) {
+ *   deployment.start();
+ *   deployment.engines().get(0).engine().die();
+ * }
+ * }</pre>
+ */
+public final class LocalDeployment implements AutoCloseable {
+    /** Name of the service that the engines belong to. */
+    public static final String SERVICE = "drafter";
+    /** Key of the organisation {@code office}. */
+    public static final String CALLER_KEY = "office-key";
+
+    private static final String HOST = "127.0.0.1";
+    private static final int PLATFORM_TIMEOUT_MILLIS = 2_000;
+    private static final long READY_TIMEOUT_MILLIS = 20_000;
+    private static final long READY_POLL_MILLIS = 20;
+    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final int JOURNAL_MAX_BYTES = 32 << 20;
+    private static final long JOURNAL_RETENTION_MILLIS = 600_000;
+
+    private final PlatformStandIn platform = new PlatformStandIn(HOST, 0);
+    private final List<EngineNode> engines = new ArrayList<>();
+    private final List<RouterNode> routers = new ArrayList<>();
+
+    /** Creates a deployment with the same number of engines and routers in each failure domain. */
+    public LocalDeployment(
+            List<String> failureDomains, int enginesPerDomain, int routersPerDomain, EngineSettings engineSettings) {
+        for (String domain : failureDomains) {
+            for (int i = 1; i <= enginesPerDomain; i++) {
+                addEngine("drafter-" + domain + "-" + i, domain, engineSettings);
+            }
+            for (int i = 1; i <= routersPerDomain; i++) {
+                addRouter("router-" + domain + "-" + i, domain);
+            }
+        }
+    }
+
+    /** Starts all parts and waits until each router is ready. */
+    public void start() throws InterruptedException {
+        platform.setVms(engines.stream().map(EngineNode::upstream).toList());
+        platform.setRouters(routers.stream().map(RouterNode::peer).toList());
+        platform.start();
+        applyConfig();
+        engines.forEach(EngineNode::start);
+        for (RouterNode router : routers) {
+            router.start();
+        }
+        awaitReady();
+    }
+
+    /** Returns the platform. */
+    public PlatformStandIn platform() {
+        return platform;
+    }
+
+    /** Returns the engines. */
+    public List<EngineNode> engines() {
+        return engines;
+    }
+
+    /** Returns the routers. */
+    public List<RouterNode> routers() {
+        return routers;
+    }
+
+    /** Returns a client of the key-value service. */
+    public KeyValueStore keyValueStore() {
+        return new EtcdKeyValueStore(new JsonHttp(PLATFORM_TIMEOUT_MILLIS), platformAddress(""));
+    }
+
+    @Override
+    public void close() {
+        routers.forEach(RouterNode::stop);
+        engines.forEach(EngineNode::stop);
+        platform.stop();
+    }
+
+    private void addEngine(String id, String domain, EngineSettings settings) {
+        EngineSettings own = new EngineSettings(
+                settings.version(),
+                settings.firstTokenMillis(),
+                settings.gapMillis(),
+                settings.seed() + engines.size());
+        engines.add(new EngineNode(id, domain, own));
+    }
+
+    private void addRouter(String name, String domain) {
+        routers.add(new RouterNode(new RouterSettings(
+                name,
+                domain,
+                HOST,
+                freePort(),
+                freePort(),
+                freePort(),
+                platformAddress(""),
+                platformAddress("/vms"),
+                MAX_BODY_BYTES,
+                0,
+                "WARN")));
+    }
+
+    private void applyConfig() {
+        ServiceDeclaration service = new ServiceDeclaration(SERVICE, ServiceDeclaration.Kind.ENGINE, "", List.of());
+        OrganisationDeclaration organisation =
+                new OrganisationDeclaration("office", List.of(DigestUtils.sha256Hex(CALLER_KEY)), 100_000, 100_000_000);
+        ConfigSet set = new ConfigSet(1, List.of(service), List.of(organisation));
+        keyValueStore().compareAndSwap(ConfigFollower.CONFIG_KEY, KeyValueStore.ABSENT, new ConfigCodec().encode(set));
+    }
+
+    private void awaitReady() throws InterruptedException {
+        long deadlineMillis = System.currentTimeMillis() + READY_TIMEOUT_MILLIS;
+        while (!routers.stream().allMatch(RouterNode::isReady)) {
+            if (System.currentTimeMillis() > deadlineMillis) {
+                throw new IllegalStateException("deployment is not ready in time");
+            }
+            Thread.sleep(READY_POLL_MILLIS);
+        }
+    }
+
+    private URI platformAddress(String path) {
+        return URI.create("http://" + HOST + ":" + platform.port() + path);
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            return socket.getLocalPort();
+        } catch (IOException cause) {
+            throw new UncheckedIOException(cause);
+        }
+    }
+
+    /** An engine and the agent beside it. */
+    public static final class EngineNode implements Service {
+        private final EngineStandIn engine;
+        private final Upstream upstream;
+        private final List<Service> agent;
+
+        EngineNode(String id, String domain, EngineSettings settings) {
+            this.engine = new EngineStandIn(HOST, 0, settings);
+            int agentPort = freePort();
+            this.upstream = new Upstream(id, SERVICE, domain, HOST, engine.port(), agentPort, false);
+            AgentSettings agentSettings = new AgentSettings(
+                    id,
+                    HOST,
+                    agentPort,
+                    freePort(),
+                    HOST,
+                    engine.port(),
+                    JOURNAL_MAX_BYTES,
+                    JOURNAL_RETENTION_MILLIS,
+                    0,
+                    "WARN");
+            this.agent = Guice.createInjector(new AgentModule(agentSettings))
+                    .getInstance(Key.get(new TypeLiteral<List<Service>>() {}));
+        }
+
+        /** Returns the engine. */
+        public EngineStandIn engine() {
+            return engine;
+        }
+
+        /** Returns the addresses and place. */
+        public Upstream upstream() {
+            return upstream;
+        }
+
+        @Override
+        public void start() {
+            engine.start();
+            agent.forEach(Service::start);
+        }
+
+        @Override
+        public void stop() {
+            stopAgent();
+            engine.stop();
+        }
+
+        /** Stops the agent, which loses its journal, and leaves the engine running. */
+        public void stopAgent() {
+            for (int i = agent.size() - 1; i >= 0; i--) {
+                agent.get(i).stop();
+            }
+        }
+    }
+
+    /** A router. */
+    public static final class RouterNode implements Service {
+        private final RouterSettings settings;
+        private final Injector injector;
+        private final List<Service> services;
+
+        RouterNode(RouterSettings settings) {
+            this.settings = settings;
+            this.injector = Guice.createInjector(new RouterModule(settings));
+            this.services = injector.getInstance(Key.get(new TypeLiteral<List<Service>>() {}));
+        }
+
+        /** Returns the address for callers. */
+        public URI address() {
+            return URI.create("http://" + HOST + ":" + settings.httpPort());
+        }
+
+        /** Returns the entry of the VM list. */
+        public RouterPeer peer() {
+            return new RouterPeer(settings.name(), settings.failureDomain(), HOST, settings.peerPort());
+        }
+
+        /** Returns the settings. */
+        public RouterSettings settings() {
+            return settings;
+        }
+
+        /** Returns an object of the router. */
+        public <T> T instance(Class<T> type) {
+            return injector.getInstance(type);
+        }
+
+        @Override
+        public void start() {
+            services.forEach(Service::start);
+        }
+
+        /** Stops the router at once; its running generations lose their callers and their journal connections. */
+        @Override
+        public void stop() {
+            for (int i = services.size() - 1; i >= 0; i--) {
+                services.get(i).stop();
+            }
+        }
+
+        private boolean isReady() {
+            return injector.getInstance(ReadinessCheck.class).isReady();
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -0,0 +1,35 @@
+package io.laburnummoor.bench.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+
+/** Runs one scenario by name and prints its result as one JSON line. */
+@Parameters(commandDescription = "Run a bench scenario")
+final class ScenarioCommand implements BenchCommand {
+    private static final int EXIT_USAGE = 2;
+
+    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of("resume", new ResumeScenario()));
+
+    @Parameter(description = "name of the scenario", required = true)
+    private List<String> names = new ArrayList<>();
+
+    @Parameter(names = "--seed", description = "seed of all random choices")
+    private long seed = 1;
+
+    @Override
+    public int run() throws Exception {
+        Scenario scenario = SCENARIOS.get(names.get(0));
+        if (scenario == null) {
+            System.err.println("unknown scenario " + names.get(0) + ", known: " + SCENARIOS.keySet());
+            return EXIT_USAGE;
+        }
+        ScenarioResult result = scenario.run(seed);
+        System.out.println(result.toLine(names.get(0), seed));
+        return result.pass() ? 0 : 1;
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/ErrorCode.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/ErrorCode.java
@@ -42,6 +42,8 @@
     NOT_RUN("not_run", 503),
     /** The process is stopping and takes no new work. */
     STOPPING("stopping", 503),
+    /** Another process of the system did not answer in time. */
+    PEER_UNREACHABLE("peer_unreachable", 503),
     /** The key-value service did not answer. */
     STORE_UNAVAILABLE("store_unavailable", 503),
     /** A file of settings or declarations has faults. */
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/Snapshot.java
@@ -0,0 +1,45 @@
+package io.laburnummoor.core;
+
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
+
+/**
+ * A shared value that is read without a lock and replaced by a changed copy (read-copy-update).
+ *
+ * <pre>{@code
+ * Snapshot<Map<String, Integer>> limits = new Snapshot<>(Map.of());
+ * limits.replace(Map.of("drafter", 25));
+ * int limit = limits.get().getOrDefault("drafter", 0);
+ * }</pre>
+ *
+ * @param <T> immutable type of the value
+ */
+public final class Snapshot<T> {
+    private final AtomicReference<T> reference;
+
+    /** Creates a snapshot with its first value. */
+    public Snapshot(T initial) {
+        this.reference = new AtomicReference<>(Objects.requireNonNull(initial));
+    }
+
+    /** Returns the current value. */
+    public T get() {
+        return Objects.requireNonNull(reference.get());
+    }
+
+    /** Replaces the value. */
+    public void replace(T value) {
+        reference.set(Objects.requireNonNull(value));
+    }
+
+    /**
+     * Replaces the value by a changed copy; the change may be computed again if another thread replaces the value
+     * meanwhile.
+     *
+     * @return the value before the change
+     */
+    public T update(UnaryOperator<T> change) {
+        return Objects.requireNonNull(reference.getAndUpdate(change));
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamState.java
@@ -0,0 +1,117 @@
+package io.laburnummoor.core.connection;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What this router knows about one upstream; shared by all requests through atomics.
+ *
+ * <p>Evidence is ranked: what requests met in the last seconds goes before the agent's heartbeat, and the heartbeat
+ * before the VM list.
+ */
+public final class UpstreamState {
+    /** Time for which a refused or broken connection keeps new work away, unless a later heartbeat clears it. */
+    static final long FAILURE_HOLD_MILLIS = 2_000;
+    /** Age at which a heartbeat no longer proves that the agent is alive. */
+    static final long HEARTBEAT_TIMEOUT_MILLIS = 3_000;
+
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
+    private final Upstream upstream;
+    private final AtomicInteger inFlightCount = new AtomicInteger();
+    private final AtomicLong failureHoldDeadlineMillis = new AtomicLong(NEVER_MILLIS);
+    private final AtomicLong suspectDeadlineMillis = new AtomicLong(NEVER_MILLIS);
+    private final AtomicReference<@Nullable Heartbeat> heartbeat = new AtomicReference<>();
+
+    /** Creates the state of an upstream of which nothing is known but its addresses. */
+    public UpstreamState(Upstream upstream) {
+        this.upstream = upstream;
+    }
+
+    /** Returns the addresses and place of this upstream. */
+    public Upstream upstream() {
+        return upstream;
+    }
+
+    /** Counts a request that is sent to this upstream. */
+    public void requestStarted() {
+        inFlightCount.incrementAndGet();
+    }
+
+    /** Counts the end of a request that was sent to this upstream. */
+    public void requestEnded() {
+        inFlightCount.decrementAndGet();
+    }
+
+    /** Records that a request met a refused or broken connection. */
+    public void recordFailure(long nowMillis) {
+        failureHoldDeadlineMillis.accumulateAndGet(nowMillis + FAILURE_HOLD_MILLIS, Math::max);
+    }
+
+    /** Records that a request's stream has been silent for too long. */
+    public void recordSuspicion(long nowMillis) {
+        suspectDeadlineMillis.accumulateAndGet(nowMillis + FAILURE_HOLD_MILLIS, Math::max);
+    }
+
+    /** Records a heartbeat of the agent. A new incarnation of the upstream clears failures of the one before. */
+    public void recordHeartbeat(UpstreamReport report, long nowMillis) {
+        Heartbeat before = heartbeat.getAndSet(new Heartbeat(report, nowMillis, inFlightCount.get()));
+        if (before != null && before.report.upstreamIncarnation() != report.upstreamIncarnation()) {
+            failureHoldDeadlineMillis.set(NEVER_MILLIS);
+            suspectDeadlineMillis.set(NEVER_MILLIS);
+        }
+    }
+
+    /** Returns whether new work may be sent to this upstream. */
+    public boolean isAvailable(long nowMillis) {
+        Heartbeat last = heartbeat.get();
+        return last != null
+                && nowMillis >= failureHoldDeadlineMillis.get()
+                && last.report.upstreamAlive()
+                && !last.report.leaving()
+                && !upstream.leaving()
+                && isAgentAlive(nowMillis);
+    }
+
+    /** Returns whether the agent has answered within the heartbeat timeout. */
+    public boolean isAgentAlive(long nowMillis) {
+        Heartbeat last = heartbeat.get();
+        return last != null && nowMillis - last.receivedAtMillis < HEARTBEAT_TIMEOUT_MILLIS;
+    }
+
+    /** Returns whether a stream of this upstream was silent for too long in the last seconds. */
+    public boolean isSuspect(long nowMillis) {
+        return nowMillis < suspectDeadlineMillis.get();
+    }
+
+    /** Returns the last report, or null if there is none. */
+    public @Nullable UpstreamReport report() {
+        Heartbeat last = heartbeat.get();
+        return last == null ? null : last.report;
+    }
+
+    /**
+     * Returns the estimated number of requests in this upstream: the reported number, corrected by what this router has
+     * started and ended since the report.
+     */
+    public int estimatedLoad() {
+        int ownCount = inFlightCount.get();
+        Heartbeat last = heartbeat.get();
+        if (last == null) {
+            return ownCount;
+        }
+        int reportedCount = last.report.runningCount() + last.report.waitingCount();
+        int othersCount = Math.max(0, reportedCount - last.inFlightCountAtReport);
+        return othersCount + ownCount;
+    }
+
+    /** Returns the number of requests that this router has sent and that have not ended. */
+    public int inFlightCount() {
+        return inFlightCount.get();
+    }
+
+    private record Heartbeat(UpstreamReport report, long receivedAtMillis, int inFlightCountAtReport) {}
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AnswerJournal.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AnswerJournal.java
@@ -1,23 +1,24 @@
 package io.laburnummoor.core.process;
 
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.request.Binding;
 import io.laburnummoor.core.request.FinishReason;
 import io.laburnummoor.core.request.JournalEntry;
 import io.laburnummoor.core.request.RequestId;
 import io.laburnummoor.core.request.Token;
-import java.util.Comparator;
-import java.util.List;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 
 /**
  * The second copy of running and recently finished answers, kept by an agent for routers in other failure domains.
  *
  * <p>Each entry has one writer at a time, told apart by its epoch. Entries are immutable and replaced atomically, so
- * that requests do not wait for each other. Memory is bounded: at the limit, expired entries are dropped first, then the
- * finished entries that expire soonest; a running entry is never dropped for a new one.
+ * that requests do not wait for each other. Memory is bounded: at the limit, expired entries are dropped first, then
+ * the finished entries that expire soonest; a running entry is never dropped for a new one.
  */
 public final class AnswerJournal {
     private final ConcurrentHashMap<RequestId, JournalEntry> entries = new ConcurrentHashMap<>();
@@ -58,7 +59,8 @@
         if (sizeBytes.get() > maxSizeBytes) {
             return false;
         }
-        JournalEntry opened = JournalEntry.open(epoch, writer, binding, bodyDigest, tokens, nowMillis + retentionMillis);
+        JournalEntry opened =
+                JournalEntry.open(epoch, writer, binding, bodyDigest, tokens, nowMillis + retentionMillis);
         JournalEntry result = entries.compute(id, (key, old) -> {
             if (old != null && !old.yieldsTo(epoch, writer)) {
                 return old;
@@ -70,7 +72,8 @@
     }
 
     /**
-     * Appends tokens at an offset. Tokens that the entry already holds are passed over, so a repeated append is harmless.
+     * Appends tokens at an offset. Tokens that the entry already holds are passed over, so a repeated append is
+     * harmless.
      */
     public AppendResult append(RequestId id, long epoch, int offset, List<Token> tokens) {
         return update(id, epoch, entry -> entry.append(offset, tokens, clock.nowMillis() + retentionMillis));
@@ -152,6 +155,7 @@
     }
 
     private interface EntryChange {
-        @Nullable JournalEntry apply(JournalEntry entry);
+        @Nullable
+        JournalEntry apply(JournalEntry entry);
     }
 }
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/KeyValueStore.java
@@ -0,0 +1,57 @@
+package io.laburnummoor.core.process;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The platform's key-value service.
+ *
+ * <p>Every method blocks and may throw a {@code LaburnummoorException} with code {@code store_unavailable}. After such
+ * an exception from a write it is unknown whether the write took effect; callers find out by reading.
+ */
+public interface KeyValueStore {
+    /** Version of a key that does not exist. */
+    long ABSENT = 0;
+    /** Id that stands for no lease. */
+    long NO_LEASE = 0;
+
+    /** Returns the value of a key, or null if it does not exist. */
+    @Nullable
+    VersionedValue get(String key);
+
+    /**
+     * Replaces the value of a key if its version is the expected one ({@link #ABSENT} to create it).
+     *
+     * @return the new version, or {@link #ABSENT} if the version was another
+     */
+    default long compareAndSwap(String key, long expectedVersion, String value) {
+        return compareAndSwap(key, expectedVersion, value, NO_LEASE);
+    }
+
+    /** Like the method without a lease; the key is deleted when the lease lapses, unless it is {@link #NO_LEASE}. */
+    long compareAndSwap(String key, long expectedVersion, String value, long leaseId);
+
+    /** Grants a lease that lapses after the given time unless it is kept alive, and returns its id. */
+    long grantLease(long timeToLiveSeconds);
+
+    /** Starts the time of a lease anew; returns false if the lease has lapsed. */
+    boolean keepLeaseAlive(long leaseId);
+
+    /** Deletes a key if its version is the expected one; returns whether it was. */
+    boolean delete(String key, long expectedVersion);
+
+    /**
+     * Waits until the version of a key differs from the known one or the timeout passes.
+     *
+     * @return the value, or null if the key does not exist or did not change
+     */
+    @Nullable
+    VersionedValue watch(String key, long knownVersion, long timeoutMillis);
+
+    /**
+     * A value and its version.
+     *
+     * @param value text of at most 1 MB
+     * @param version number that grows with each write of the key
+     */
+    record VersionedValue(String value, long version) {}
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RendezvousHash.java
@@ -0,0 +1,40 @@
+package io.laburnummoor.core.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/** Ranks nodes for a key by highest random weight, so that a change of one node moves only that node's keys. */
+public final class RendezvousHash {
+    private RendezvousHash() {}
+
+    /** Returns a 64-bit hash of a text. */
+    public static long hash(String text) {
+        return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
+    }
+
+    /** Returns the weight of a node for a key. */
+    public static long weight(long keyHash, String node) {
+        byte[] bytes = node.getBytes(StandardCharsets.UTF_8);
+        return MurmurHash3.hash128x64(bytes, 0, bytes.length, Long.hashCode(keyHash))[0];
+    }
+
+    /** Maps a hash to a number from 0 to 1. */
+    public static double toUnitInterval(long hash) {
+        return (hash >>> 11) * 0x1.0p-53;
+    }
+
+    /** Returns the nodes, the one with the highest weight for the key first. */
+    public static <T> List<T> rank(String key, Collection<T> nodes, Function<T, String> name) {
+        long keyHash = hash(key);
+        List<T> ranked = new ArrayList<>(nodes);
+        ranked.sort(Comparator.comparingLong((T node) -> weight(keyHash, name.apply(node)))
+                .reversed());
+        return ranked;
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/Answer.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/Answer.java
@@ -1,8 +1,9 @@
 package io.laburnummoor.core.request;
 
-import io.laburnummoor.core.ErrorCode;
 import java.util.ArrayList;
 import java.util.List;
+
+import io.laburnummoor.core.ErrorCode;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AnswerEffects.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AnswerEffects.java
@@ -1,8 +1,9 @@
 package io.laburnummoor.core.request;
 
-import io.laburnummoor.core.ErrorCode;
 import java.util.List;
 
+import io.laburnummoor.core.ErrorCode;
+
 /** What an {@link Answer} asks its surroundings to do; calls arrive one at a time. */
 public interface AnswerEffects {
     /**
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalEntry.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -86,11 +87,7 @@
             backing.addAll(added);
         }
         return new JournalEntry(
-                this,
-                tokenCount + added.size(),
-                sizeBytes + tokenBytes(added),
-                finishReason,
-                newExpiryDeadlineMillis);
+                this, tokenCount + added.size(), sizeBytes + tokenBytes(added), finishReason, newExpiryDeadlineMillis);
     }
 
     /** Returns this entry with its end recorded, or null if tokens are missing. */
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ConfigSet.java
@@ -0,0 +1,64 @@
+package io.laburnummoor.core.version;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/** All declarations of one configuration revision; immutable. */
+public final class ConfigSet {
+    /** The set that is in force before any is loaded. */
+    public static final ConfigSet EMPTY = new ConfigSet(0, List.of(), List.of());
+
+    private final long revision;
+    private final Map<String, ServiceDeclaration> services;
+    private final Map<String, OrganisationDeclaration> organisations;
+    private final Map<String, OrganisationDeclaration> organisationsByKey;
+
+    /** Creates a set of declarations. */
+    public ConfigSet(long revision, List<ServiceDeclaration> services, List<OrganisationDeclaration> organisations) {
+        this.revision = revision;
+        Map<String, ServiceDeclaration> byName = new LinkedHashMap<>();
+        services.forEach(each -> byName.put(each.name(), each));
+        Map<String, OrganisationDeclaration> organisationsByName = new LinkedHashMap<>();
+        Map<String, OrganisationDeclaration> byKey = new LinkedHashMap<>();
+        for (OrganisationDeclaration organisation : organisations) {
+            organisationsByName.put(organisation.name(), organisation);
+            organisation.keySha256s().forEach(key -> byKey.put(key, organisation));
+        }
+        this.services = Map.copyOf(byName);
+        this.organisations = Map.copyOf(organisationsByName);
+        this.organisationsByKey = Map.copyOf(byKey);
+    }
+
+    /** Returns the revision; a higher one is newer. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns the service with this name, or null. */
+    public @Nullable ServiceDeclaration service(String name) {
+        return services.get(name);
+    }
+
+    /** Returns the organisation with this name, or null. */
+    public @Nullable OrganisationDeclaration organisation(String name) {
+        return organisations.get(name);
+    }
+
+    /** Returns the organisation that a key with this SHA-256 digest belongs to, or null. */
+    public @Nullable OrganisationDeclaration organisationOfKey(String keySha256) {
+        return organisationsByKey.get(keySha256);
+    }
+
+    /** Returns all services. */
+    public List<ServiceDeclaration> services() {
+        return List.copyOf(services.values());
+    }
+
+    /** Returns all organisations. */
+    public List<OrganisationDeclaration> organisations() {
+        return List.copyOf(organisations.values());
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/TokenPace.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/TokenPace.java
@@ -1,8 +1,9 @@
 package io.laburnummoor.core.version;
 
-import io.laburnummoor.core.request.SilencePolicy;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.laburnummoor.core.request.SilencePolicy;
+
 /**
  * Expected time to the first token and between tokens of one upstream version, learned from running attempts.
  *
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalListener.java
@@ -0,0 +1,13 @@
+package io.laburnummoor.router.connection;
+
+/** Receives the outcome of appends; calls come from the thread of the journal connection. */
+public interface JournalListener {
+    /** The first {@code tokenCount} tokens, and the end if it was sent, are kept. */
+    void onAcknowledged(int tokenCount, boolean endAcknowledged);
+
+    /** Another router has become the writer. */
+    void onFenced();
+
+    /** The agent did not answer or has lost the entry. */
+    void onLost();
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalPeers.java
@@ -0,0 +1,105 @@
+package io.laburnummoor.router.connection;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.core.connection.Upstream;
+import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.process.RendezvousHash;
+import io.laburnummoor.core.process.RoutingTable;
+import io.laburnummoor.core.request.RequestId;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses the agents that keep journals and holds the connections to them. */
+public final class JournalPeers implements Service {
+    private static final int READ_CANDIDATES = 4;
+
+    private final RoutingTable routing;
+    private final String routerName;
+    private final String failureDomain;
+    private final Clock clock;
+    private final ConcurrentHashMap<Upstream, JournalPeer> peers = new ConcurrentHashMap<>();
+
+    /** Creates the connections of a router in a failure domain. */
+    public JournalPeers(RoutingTable routing, String routerName, String failureDomain, Clock clock) {
+        this.routing = routing;
+        this.routerName = routerName;
+        this.failureDomain = failureDomain;
+        this.clock = clock;
+    }
+
+    /** Returns the best agent for a new entry, outside this router's failure domain if one is alive, or null. */
+    public @Nullable JournalPeer choose(RequestId id, Set<String> excludedAgentIds) {
+        JournalPeer sameDomain = null;
+        for (UpstreamState each : ranked(id)) {
+            if (excludedAgentIds.contains(each.upstream().id())) {
+                continue;
+            }
+            if (!each.upstream().failureDomain().equals(failureDomain)) {
+                return peer(each.upstream());
+            }
+            if (sameDomain == null) {
+                sameDomain = peer(each.upstream());
+            }
+        }
+        return sameDomain;
+    }
+
+    /**
+     * Returns the agents that may hold the entry of a request: the named one, the first in rank, and the first in rank
+     * outside the failure domain of the first.
+     */
+    public List<JournalPeer> readCandidates(RequestId id, @Nullable String namedAgentId) {
+        List<JournalPeer> candidates = new ArrayList<>();
+        UpstreamState named = namedAgentId == null ? null : routing.snapshot().find(namedAgentId);
+        if (named != null) {
+            candidates.add(peer(named.upstream()));
+        }
+        List<UpstreamState> ranked = ranked(id);
+        String firstDomain = ranked.isEmpty() ? "" : ranked.get(0).upstream().failureDomain();
+        boolean otherDomainSeen = false;
+        for (int i = 0; i < ranked.size(); i++) {
+            Upstream agent = ranked.get(i).upstream();
+            boolean otherDomain = !agent.failureDomain().equals(firstDomain);
+            if (i < READ_CANDIDATES || (otherDomain && !otherDomainSeen)) {
+                addIfAbsent(candidates, peer(agent));
+            }
+            otherDomainSeen |= otherDomain;
+        }
+        return candidates;
+    }
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void stop() {
+        peers.values().forEach(JournalPeer::stop);
+    }
+
+    private List<UpstreamState> ranked(RequestId id) {
+        long nowMillis = clock.nowMillis();
+        List<UpstreamState> alive = routing.snapshot().all().stream()
+                .filter(each -> each.isAgentAlive(nowMillis))
+                .toList();
+        return RendezvousHash.rank(id.toString(), alive, each -> each.upstream().id());
+    }
+
+    private JournalPeer peer(Upstream agent) {
+        return peers.computeIfAbsent(agent, added -> {
+            JournalPeer peer = new JournalPeer(added, routerName);
+            peer.start();
+            return peer;
+        });
+    }
+
+    private static void addIfAbsent(List<JournalPeer> candidates, JournalPeer peer) {
+        if (!candidates.contains(peer)) {
+            candidates.add(peer);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/Problem.java
@@ -0,0 +1,47 @@
+package io.laburnummoor.router.connection;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.laburnummoor.core.ErrorCode;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+
+/** Problem documents of RFC 9457. */
+public final class Problem {
+    /** Media type of a problem document. */
+    public static final MediaType MEDIA_TYPE = MediaType.valueOf("application/problem+json");
+
+    private static final int RETRY_AFTER_SECONDS = 1;
+
+    private Problem() {}
+
+    /** Returns the document of an error. */
+    public static ObjectNode document(ErrorCode code, String detail) {
+        return JsonNodeFactory.instance
+                .objectNode()
+                .put("type", "about:blank")
+                .put("title", code.code().replace('_', ' '))
+                .put("status", code.httpStatus())
+                .put("code", code.code())
+                .put("detail", detail);
+    }
+
+    /** Returns the response of an error, with {@code Retry-After} where a later try may succeed. */
+    public static Response response(ErrorCode code, String detail) {
+        Response.ResponseBuilder builder = Response.status(code.httpStatus())
+                .type(MEDIA_TYPE)
+                .entity(document(code, detail).toString());
+        if (isRetryable(code)) {
+            builder.header("Retry-After", RETRY_AFTER_SECONDS);
+        }
+        return builder.build();
+    }
+
+    private static boolean isRetryable(ErrorCode code) {
+        int status = code.httpStatus();
+        return status == 503
+                || status == 429
+                || code == ErrorCode.DUPLICATE_RUNNING
+                || code == ErrorCode.OUTCOME_UNKNOWN;
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/Membership.java
@@ -0,0 +1,116 @@
+package io.laburnummoor.router.process;
+
+import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.core.connection.Upstream;
+import io.laburnummoor.core.connection.UpstreamReport;
+import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.process.RouterPeers;
+import io.laburnummoor.core.process.RoutingTable;
+import io.laburnummoor.wire.connection.ThriftConnection;
+import io.laburnummoor.wire.generated.AgentService;
+import io.laburnummoor.wire.generated.AgentStatus;
+import io.laburnummoor.wire.process.PeriodicTask;
+import io.laburnummoor.wire.process.VmList;
+import io.laburnummoor.wire.process.VmListClient;
+import org.jboss.logging.Logger;
+
+/** Reads the VM list, asks agents for their state and keeps the routing table current. */
+public final class Membership implements Service {
+    private static final Logger LOGGER = Logger.getLogger(Membership.class);
+    private static final long VM_LIST_INTERVAL_MILLIS = 1_000;
+    private static final long HEARTBEAT_INTERVAL_MILLIS = 1_000;
+    private static final int HEARTBEAT_TIMEOUT_MILLIS = 500;
+    private static final int HEARTBEAT_THREADS = 8;
+
+    private final RoutingTable routing;
+    private final RouterPeers peers;
+    private final VmListClient vmList;
+    private final String routerName;
+    private final Clock clock;
+    private final PeriodicTask vmListTask = new PeriodicTask("vm-list", VM_LIST_INTERVAL_MILLIS, this::readVmList);
+    private final PeriodicTask heartbeatTask =
+            new PeriodicTask("heartbeat-timer", HEARTBEAT_INTERVAL_MILLIS, this::askAgents);
+    private final ExecutorService heartbeats =
+            Executors.newFixedThreadPool(HEARTBEAT_THREADS, task -> new Thread(task, "heartbeat"));
+    private final ConcurrentHashMap<Upstream, ThriftConnection<AgentService.Client>> clients =
+            new ConcurrentHashMap<>();
+    private final Set<Upstream> pending = ConcurrentHashMap.newKeySet();
+
+    /** Creates the membership of a router. */
+    public Membership(RoutingTable routing, RouterPeers peers, VmListClient vmList, String routerName, Clock clock) {
+        this.routing = routing;
+        this.peers = peers;
+        this.vmList = vmList;
+        this.routerName = routerName;
+        this.clock = clock;
+    }
+
+    @Override
+    public void start() {
+        readVmList();
+        vmListTask.start();
+        heartbeatTask.start();
+    }
+
+    @Override
+    public void stop() {
+        vmListTask.stop();
+        heartbeatTask.stop();
+        heartbeats.shutdownNow();
+        clients.values().forEach(ThriftConnection::close);
+    }
+
+    private void readVmList() {
+        try {
+            VmList list = vmList.read();
+            routing.replace(list.upstreams());
+            peers.replace(list.routers());
+        } catch (IOException | RuntimeException failure) {
+            LOGGER.warnf("VM list cannot be read, the last one stays in use: %s", failure.getMessage());
+        }
+    }
+
+    private void askAgents() {
+        for (UpstreamState each : routing.snapshot().all()) {
+            if (pending.add(each.upstream())) {
+                heartbeats.execute(() -> askAgent(each));
+            }
+        }
+    }
+
+    private void askAgent(UpstreamState state) {
+        Upstream upstream = state.upstream();
+        ThriftConnection<AgentService.Client> client = clients.computeIfAbsent(
+                upstream,
+                added -> new ThriftConnection<>(
+                        added.host(), added.agentPort(), HEARTBEAT_TIMEOUT_MILLIS, "agent", AgentService.Client::new));
+        try {
+            AgentStatus status = client.call(agent -> agent.status(routerName));
+            state.recordHeartbeat(decode(status), clock.nowMillis());
+        } catch (LaburnummoorException unanswered) {
+            LOGGER.debugf("agent of upstream %s did not answer", upstream.id());
+        } finally {
+            pending.remove(upstream);
+        }
+    }
+
+    private static UpstreamReport decode(AgentStatus status) {
+        return new UpstreamReport(
+                status.getAgentIncarnation(),
+                status.isUpstreamAlive(),
+                status.getUpstreamIncarnation(),
+                status.isLeaving(),
+                status.getRunningCount(),
+                status.getWaitingCount(),
+                status.getVersion(),
+                status.getAdapters());
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMain.java
@@ -0,0 +1,44 @@
+package io.laburnummoor.router.process;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.wire.process.Logging;
+
+/** Command line of the router and of the operators: {@code laburnummoor-router <command> …}. */
+public final class RouterMain {
+    private static final int EXIT_FAILURE = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private RouterMain() {}
+
+    /** Runs the command that the arguments name. */
+    public static void main(String[] arguments) {
+        Logging.configure("WARN");
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("serve", new ServeCommand());
+        commands.put("apply", new ApplyCommand());
+        JCommander.Builder builder = JCommander.newBuilder().programName("laburnummoor-router");
+        commands.forEach(builder::addCommand);
+        JCommander parser = builder.build();
+        try {
+            parser.parse(arguments);
+            Command command = commands.get(parser.getParsedCommand());
+            if (command == null) {
+                parser.usage();
+                System.exit(EXIT_USAGE);
+                return;
+            }
+            command.run();
+        } catch (ParameterException usage) {
+            System.err.println(usage.getMessage());
+            System.exit(EXIT_USAGE);
+        } catch (LaburnummoorException failure) {
+            System.err.println(failure.errorCode().code() + ": " + failure.getMessage());
+            System.exit(EXIT_FAILURE);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterSettings.java
@@ -0,0 +1,58 @@
+package io.laburnummoor.router.process;
+
+import java.net.URI;
+import java.nio.file.Path;
+
+import io.laburnummoor.wire.process.Settings;
+
+/**
+ * Settings of a router.
+ *
+ * @param name name of the router, unique in the deployment
+ * @param failureDomain failure domain of its VM
+ * @param host IP address to listen on
+ * @param httpPort port for callers
+ * @param adminPort port of metrics, health and readiness
+ * @param peerPort Thrift port for other routers
+ * @param keyValueAddress address of the platform's key-value service
+ * @param vmListAddress address of the platform's list of VMs
+ * @param maxBodyBytes greatest size of a request body
+ * @param drainMillis time that a stopping router gives to running requests
+ * @param logLevel lowest level that is logged
+ */
+public record RouterSettings(
+        String name,
+        String failureDomain,
+        String host,
+        int httpPort,
+        int adminPort,
+        int peerPort,
+        URI keyValueAddress,
+        URI vmListAddress,
+        int maxBodyBytes,
+        long drainMillis,
+        String logLevel) {
+
+    /** Reads and checks a settings file. */
+    public static RouterSettings read(Path file) {
+        Settings settings = Settings.read(file);
+        RouterSettings result = new RouterSettings(
+                settings.text("name"),
+                settings.text("failure_domain"),
+                settings.text("host"),
+                settings.integer("http_port", 1, 65_535),
+                settings.integer("admin_port", 1, 65_535),
+                settings.integer("peer_port", 1, 65_535),
+                address(settings, "key_value_address"),
+                address(settings, "vm_list_address"),
+                settings.integerOr("max_body_bytes", 4 << 20, 1_024, 64 << 20),
+                settings.integerOr("drain_millis", 30_000, 0, 3_600_000),
+                settings.textOr("log_level", "INFO"));
+        settings.throwIfFaulty();
+        return result;
+    }
+
+    private static URI address(Settings settings, String key) {
+        return URI.create(settings.text(key, text -> text.matches("http://[^ ]+"), "must be an http address"));
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
@@ -0,0 +1,422 @@
+package io.laburnummoor.router.request;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.process.RendezvousHash;
+import io.laburnummoor.core.process.RoutingSnapshot;
+import io.laburnummoor.core.process.SelectionContext;
+import io.laburnummoor.core.process.UpstreamSelector;
+import io.laburnummoor.core.request.Answer;
+import io.laburnummoor.core.request.AnswerEffects;
+import io.laburnummoor.core.request.AttemptFailure;
+import io.laburnummoor.core.request.AttemptReason;
+import io.laburnummoor.core.request.Binding;
+import io.laburnummoor.core.request.EngineRequest;
+import io.laburnummoor.core.request.FinishReason;
+import io.laburnummoor.core.request.FoundAnswer;
+import io.laburnummoor.core.request.GenerationRequest;
+import io.laburnummoor.core.request.OpenDecision;
+import io.laburnummoor.core.request.Priority;
+import io.laburnummoor.core.request.ResumePosition;
+import io.laburnummoor.core.request.SerialExecutor;
+import io.laburnummoor.core.request.Token;
+import io.laburnummoor.core.version.ServiceDeclaration;
+import io.laburnummoor.core.version.TokenPace;
+import io.laburnummoor.router.connection.CallerStream;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Carries one generation on this router: reads and opens its journal, runs the {@link Answer} and carries out its
+ * decisions.
+ *
+ * <p>Events from all threads are put in order by one {@link SerialExecutor}.
+ */
+public final class GenerationSession {
+    private static final Logger LOGGER = Logger.getLogger(GenerationSession.class);
+    private static final int PREFIX_HASH_CHARS = 256;
+
+    private final GenerationRequest request;
+    private final GenerationContext context;
+    private final Runnable endHandler;
+    private final SerialExecutor serial = new SerialExecutor(this::onUnexpectedFailure);
+    private final Map<Integer, RunningAttempt> attempts = new HashMap<>();
+    private final Effects effects = new Effects();
+
+    private @Nullable Answer answer;
+    private @Nullable JournalWriter journal;
+    private @Nullable Binding binding;
+    private @Nullable CallerStream caller;
+    private @Nullable ResumePosition callerPosition;
+    private @Nullable String lostFailureDomain;
+    private boolean ended;
+
+    /**
+     * Creates a session.
+     *
+     * @param endHandler called once when the session has ended
+     */
+    public GenerationSession(GenerationRequest request, GenerationContext context, Runnable endHandler) {
+        this.request = request;
+        this.context = context;
+        this.endHandler = endHandler;
+    }
+
+    /** Returns the request of this session. */
+    public GenerationRequest request() {
+        return request;
+    }
+
+    /**
+     * Starts this session for its first caller.
+     *
+     * @param resume where the caller wants to go on, or null
+     * @param keyIsNew whether this router has just made the key, so that no journal can exist
+     */
+    public void start(CallerStream firstCaller, @Nullable ResumePosition resume, boolean keyIsNew) {
+        serial.execute(() -> {
+            caller = firstCaller;
+            callerPosition = resume;
+            if (keyIsNew) {
+                onJournalRead(null);
+                return;
+            }
+            String namedAgentId = resume == null ? null : resume.journalAgentId();
+            JournalReader.read(
+                    request.id(),
+                    context.journals().readCandidates(request.id(), namedAgentId),
+                    found -> serial.execute(() -> onJournalRead(found)));
+        });
+    }
+
+    /** Attaches a further caller of the same request, in place of the one before. */
+    public void attach(CallerStream next, @Nullable ResumePosition resume) {
+        serial.execute(() -> {
+            Answer running = answer;
+            if (ended || running == null || (running.isAttached() && resume == null)) {
+                next.fail(ErrorCode.DUPLICATE_RUNNING, "a request with this idempotency key is running");
+                return;
+            }
+            CallerStream before = caller;
+            if (before != null && running.isAttached()) {
+                before.fail(ErrorCode.SUPERSEDED, "another connection has resumed this answer");
+            }
+            int offset = resume == null ? 0 : resume.offset();
+            if (offset > running.accepted().size()) {
+                next.fail(ErrorCode.ANSWER_LOST, "the answer has not reached token " + offset);
+                return;
+            }
+            caller = next;
+            next.open(request.id().key());
+            running.onAttach(offset);
+        });
+    }
+
+    /** Handles the loss of a caller's connection. */
+    public void onDisconnect(CallerStream lost) {
+        serial.execute(() -> {
+            if (lost == caller && answer != null) {
+                answer.onDetach(context.clock().nowMillis());
+            }
+        });
+    }
+
+    /** Checks the deadlines. */
+    public void onTick() {
+        serial.execute(() -> {
+            if (answer != null && !ended) {
+                answer.onTick(context.clock().nowMillis());
+            }
+            if (journal != null && !ended) {
+                journal.onTick();
+            }
+        });
+    }
+
+    void onToken(RunningAttempt attempt, int offset, Token token) {
+        serial.execute(() -> {
+            if (answer != null) {
+                answer.onToken(attempt.number(), offset, token, context.clock().nowMillis());
+            }
+        });
+    }
+
+    void onEnd(RunningAttempt attempt, int tokenCount, FinishReason reason) {
+        serial.execute(() -> {
+            if (answer != null) {
+                answer.onEnd(
+                        attempt.number(), tokenCount, reason, context.clock().nowMillis());
+            }
+        });
+    }
+
+    void onAttemptFailed(RunningAttempt attempt, AttemptFailure failure, String detail) {
+        serial.execute(() -> {
+            if (answer == null || attempt.isCancelled()) {
+                return;
+            }
+            attempt.upstream().recordFailure(context.clock().nowMillis());
+            lostFailureDomain = attempt.upstream().upstream().failureDomain();
+            context.metrics().attemptLost(failure);
+            LOGGER.infof(
+                    "attempt %d of %s on upstream %s failed: %s (%s)",
+                    attempt.number(),
+                    request.id(),
+                    attempt.upstream().upstream().id(),
+                    failure,
+                    detail);
+            answer.onAttemptFailed(attempt.number(), failure, context.clock().nowMillis());
+        });
+    }
+
+    private void onJournalRead(@Nullable FoundAnswer found) {
+        try {
+            OpenDecision decision = OpenDecision.decide(found, callerPosition, request.bodyDigest());
+            if (found == null || decision == OpenDecision.FRESH) {
+                begin(chooseBinding(), List.of(), 1);
+            } else if (decision == OpenDecision.REPLAY) {
+                replay(found);
+            } else {
+                context.metrics().answerTakenOver();
+                begin(found.binding(), found.tokens(), found.epoch() + 1);
+            }
+        } catch (LaburnummoorException refused) {
+            fail(refused.errorCode(), String.valueOf(refused.getMessage()));
+        }
+    }
+
+    private Binding chooseBinding() {
+        ServiceDeclaration service = context.config().current().service(request.service());
+        String wanted = service == null ? "" : service.activeVersion();
+        UpstreamState chosen = select(wanted.isEmpty() ? null : wanted, Set.of());
+        if (chosen == null || chosen.report() == null) {
+            throw new LaburnummoorException(
+                    ErrorCode.NO_UPSTREAM, "no upstream of service " + request.service() + " can take the request");
+        }
+        Long seed = request.seed();
+        return new Binding(
+                request.service(),
+                chosen.report().version(),
+                request.adapter(),
+                seed == null ? RendezvousHash.hash(request.id().toString()) : seed);
+    }
+
+    private void begin(Binding chosen, List<Token> journaled, long epoch) {
+        TokenPace pace = context.paces().apply(chosen.service() + "/" + chosen.version());
+        Answer created = new Answer(request.maxTokens(), journaled, pace, effects);
+        JournalWriter writer = new JournalWriter(
+                context.journals(), request, context.routerName(), serial, created, chosen, new JournalEvents());
+        binding = chosen;
+        answer = created;
+        journal = writer;
+        writer.open(epoch);
+        if (ended) {
+            return;
+        }
+        CallerStream first = caller;
+        if (first != null) {
+            first.open(request.id().key());
+        }
+        created.start(context.clock().nowMillis());
+        created.onAttach(callerPosition == null ? 0 : callerPosition.offset());
+    }
+
+    private void replay(FoundAnswer found) {
+        FinishReason reason = found.finishReason();
+        CallerStream first = caller;
+        if (first == null || reason == null) {
+            return;
+        }
+        int offset = callerPosition == null ? 0 : callerPosition.offset();
+        List<Token> tokens = found.tokens();
+        String agentId = callerPosition == null ? "" : callerPosition.journalAgentId();
+        first.open(request.id().key());
+        first.tokens(
+                offset,
+                tokens.subList(offset, tokens.size()),
+                new ResumePosition(agentId, found.epoch(), tokens.size()));
+        first.finish(tokens.size(), reason);
+        end();
+    }
+
+    private @Nullable UpstreamState select(@Nullable String version, Set<String> excludedIds) {
+        RoutingSnapshot snapshot = context.routing().snapshot();
+        String prompt = request.prompt();
+        String start = prompt.substring(0, Math.min(PREFIX_HASH_CHARS, prompt.length()));
+        return context.selector()
+                .select(
+                        snapshot,
+                        new SelectionContext(
+                                request.service(),
+                                version,
+                                request.adapter(),
+                                RendezvousHash.hash(start),
+                                lostFailureDomain,
+                                excludedIds,
+                                context.clock().nowMillis()));
+    }
+
+    private void fail(ErrorCode code, String detail) {
+        if (ended) {
+            return;
+        }
+        CallerStream attached = caller;
+        if (attached != null) {
+            attached.fail(code, detail);
+        }
+        context.metrics().generationFailed(code);
+        LOGGER.warnf("request %s failed: %s (%s)", request.id(), code.code(), detail);
+        end();
+    }
+
+    private void end() {
+        ended = true;
+        endHandler.run();
+    }
+
+    private void onUnexpectedFailure(Throwable failure) {
+        LOGGER.errorf(failure, "request %s failed unexpectedly", request.id());
+        Answer running = answer;
+        if (running != null && !running.isEnded()) {
+            running.onFailure(ErrorCode.INTERNAL, "internal failure");
+        } else {
+            fail(ErrorCode.INTERNAL, "internal failure");
+        }
+    }
+
+    /** Carries out the decisions of the answer. */
+    private final class Effects implements AnswerEffects {
+        @Override
+        public void startAttempt(int attempt, List<Token> accepted, AttemptReason reason) {
+            Binding bound = binding;
+            if (bound == null) {
+                return;
+            }
+            Set<String> busyIds = new HashSet<>();
+            attempts.values().stream()
+                    .filter(each -> !each.isCancelled())
+                    .forEach(each -> busyIds.add(each.upstream().upstream().id()));
+            if (reason == AttemptReason.HEDGE) {
+                attempts.values().forEach(each -> each.upstream()
+                        .recordSuspicion(context.clock().nowMillis()));
+            } else {
+                busyIds.clear();
+            }
+            UpstreamState chosen = select(bound.version(), busyIds);
+            context.metrics().attemptStarted(reason);
+            if (chosen == null) {
+                onNoUpstream(attempt, bound);
+                return;
+            }
+            TokenPace pace = context.paces().apply(bound.service() + "/" + bound.version());
+            RunningAttempt started = new RunningAttempt(attempt, chosen, pace, GenerationSession.this);
+            attempts.put(attempt, started);
+            started.attach(context.engines().start(chosen.upstream(), engineRequest(bound, accepted, reason), started));
+        }
+
+        @Override
+        public void cancelAttempt(int attempt) {
+            RunningAttempt running = attempts.remove(attempt);
+            if (running != null) {
+                running.cancel();
+            }
+        }
+
+        @Override
+        public void appendToJournal(int offset, List<Token> tokens) {
+            if (journal != null) {
+                journal.append(offset, tokens);
+            }
+        }
+
+        @Override
+        public void finishJournal(int tokenCount, FinishReason reason) {
+            if (journal != null) {
+                journal.finish(tokenCount, reason);
+            }
+        }
+
+        @Override
+        public void deliver(int offset, List<Token> tokens) {
+            CallerStream attached = caller;
+            if (attached != null && journal != null) {
+                attached.tokens(
+                        offset, tokens, new ResumePosition(journal.agentId(), journal.epoch(), offset + tokens.size()));
+                context.metrics().tokensDelivered(tokens.size());
+            }
+        }
+
+        @Override
+        public void finish(int tokenCount, FinishReason reason) {
+            CallerStream attached = caller;
+            if (attached != null) {
+                attached.finish(tokenCount, reason);
+            }
+            context.metrics().generationFinished();
+            end();
+        }
+
+        @Override
+        public void fail(ErrorCode code, String detail) {
+            GenerationSession.this.fail(code, detail);
+        }
+
+        private void onNoUpstream(int attempt, Binding bound) {
+            boolean versionKnown =
+                    UpstreamSelector.isVersionKnown(context.routing().snapshot(), bound.service(), bound.version());
+            serial.execute(() -> {
+                if (answer == null) {
+                    return;
+                }
+                if (versionKnown) {
+                    answer.onAttemptFailed(
+                            attempt, AttemptFailure.REFUSED, context.clock().nowMillis());
+                } else {
+                    answer.onFailure(ErrorCode.VERSION_GONE, "no upstream of version " + bound.version() + " is left");
+                }
+            });
+        }
+
+        private EngineRequest engineRequest(Binding bound, List<Token> accepted, AttemptReason reason) {
+            Priority priority = reason == AttemptReason.FIRST ? request.priority() : Priority.RESUMED;
+            return new EngineRequest(
+                    bound,
+                    request.prompt(),
+                    accepted.stream().map(Token::id).toList(),
+                    request.maxTokens(),
+                    request.temperature(),
+                    priority);
+        }
+    }
+
+    /** Passes events of the journal to the answer. */
+    private final class JournalEvents implements JournalWriter.Listener {
+        @Override
+        public void onAcknowledged(int tokenCount, boolean endAcknowledged) {
+            if (answer != null) {
+                answer.onJournalAck(tokenCount, endAcknowledged);
+            }
+        }
+
+        @Override
+        public void onFenced() {
+            if (answer != null) {
+                answer.onFailure(ErrorCode.SUPERSEDED, "another router has taken over this answer");
+            }
+        }
+
+        @Override
+        public void onNoAgent() {
+            if (answer != null && answer.accepted().isEmpty()) {
+                answer.onFailure(ErrorCode.JOURNAL_UNAVAILABLE, "no agent can keep the journal of the answer");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
@@ -0,0 +1,100 @@
+package io.laburnummoor.router.request;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.request.AttemptFailure;
+import io.laburnummoor.core.request.EngineStream;
+import io.laburnummoor.core.request.EngineStreamListener;
+import io.laburnummoor.core.request.FinishReason;
+import io.laburnummoor.core.request.Token;
+import io.laburnummoor.core.version.TokenPace;
+import org.jspecify.annotations.Nullable;
+
+/** One attempt on an upstream: counts it there, measures its pace and passes its events to the session. */
+final class RunningAttempt implements EngineStreamListener {
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final int number;
+    private final UpstreamState upstream;
+    private final TokenPace pace;
+    private final GenerationSession session;
+    private final AtomicBoolean counted = new AtomicBoolean(true);
+    private volatile @Nullable EngineStream stream;
+    private volatile boolean cancelled;
+    private long lastEventNanos = System.nanoTime();
+    private boolean firstTokenSeen;
+
+    RunningAttempt(int number, UpstreamState upstream, TokenPace pace, GenerationSession session) {
+        this.number = number;
+        this.upstream = upstream;
+        this.pace = pace;
+        this.session = session;
+        upstream.requestStarted();
+    }
+
+    /** Returns the number of this attempt. */
+    int number() {
+        return number;
+    }
+
+    /** Returns the upstream that runs this attempt. */
+    UpstreamState upstream() {
+        return upstream;
+    }
+
+    /** Returns whether this attempt was cancelled by the router. */
+    boolean isCancelled() {
+        return cancelled;
+    }
+
+    /** Sets the stream once the engine client has returned it. */
+    void attach(EngineStream started) {
+        stream = started;
+        if (cancelled) {
+            started.cancel();
+        }
+    }
+
+    /** Cancels the stream. */
+    void cancel() {
+        cancelled = true;
+        EngineStream started = stream;
+        if (started != null) {
+            started.cancel();
+        }
+        release();
+    }
+
+    @Override
+    public void onToken(int offset, Token token) {
+        long nowNanos = System.nanoTime();
+        long elapsedMicros = (nowNanos - lastEventNanos) / NANOS_PER_MICRO;
+        lastEventNanos = nowNanos;
+        if (firstTokenSeen) {
+            pace.recordGapMicros(elapsedMicros);
+        } else {
+            firstTokenSeen = true;
+            pace.recordFirstTokenMicros(elapsedMicros);
+        }
+        session.onToken(this, offset, token);
+    }
+
+    @Override
+    public void onEnd(int tokenCount, FinishReason reason) {
+        release();
+        session.onEnd(this, tokenCount, reason);
+    }
+
+    @Override
+    public void onFailure(AttemptFailure failure, String detail) {
+        release();
+        session.onAttemptFailed(this, failure, detail);
+    }
+
+    private void release() {
+        if (counted.compareAndSet(true, false)) {
+            upstream.requestEnded();
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/package-info.java
@@ -0,0 +1,5 @@
+/** One running request on a router. */
+@NullMarked
+package io.laburnummoor.router.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/version/package-info.java
@@ -0,0 +1,5 @@
+/** Configuration revisions on a router. */
+@NullMarked
+package io.laburnummoor.router.version;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -0,0 +1,81 @@
+package io.laburnummoor.wire.process;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.laburnummoor.core.Service;
+import org.apache.hc.client5.http.classic.methods.HttpGet;
+import org.apache.hc.client5.http.classic.methods.HttpPost;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.io.CloseMode;
+
+/** Blocking HTTP calls with JSON bodies, used towards the platform and the upstream's health page. */
+public final class JsonHttp implements Service {
+    private static final int MAX_CONNECTIONS = 64;
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final CloseableHttpClient client;
+
+    /** Creates a client whose connects and reads fail after the given timeout. */
+    public JsonHttp(int timeoutMillis) {
+        ConnectionConfig connectionConfig = ConnectionConfig.custom()
+                .setConnectTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .setSocketTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .build();
+        this.client = HttpClients.custom()
+                .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+                        .setDefaultConnectionConfig(connectionConfig)
+                        .setMaxConnTotal(MAX_CONNECTIONS)
+                        .setMaxConnPerRoute(MAX_CONNECTIONS)
+                        .build())
+                .setDefaultRequestConfig(RequestConfig.custom()
+                        .setConnectionRequestTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                        .setResponseTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                        .build())
+                .disableAutomaticRetries()
+                .disableCookieManagement()
+                .build();
+    }
+
+    /** Returns the JSON document at an address. */
+    public JsonNode get(URI address) throws IOException {
+        return execute(new HttpGet(address));
+    }
+
+    /** Sends a JSON document and returns the answer. */
+    public JsonNode post(URI address, JsonNode body) throws IOException {
+        HttpPost request = new HttpPost(address);
+        request.setEntity(new StringEntity(body.toString(), ContentType.APPLICATION_JSON));
+        return execute(request);
+    }
+
+    @Override
+    public void start() {}
+
+    @Override
+    public void stop() {
+        client.close(CloseMode.GRACEFUL);
+    }
+
+    private JsonNode execute(HttpUriRequestBase request) throws IOException {
+        return client.execute(request, response -> {
+            String text = EntityUtils.toString(response.getEntity());
+            if (response.getCode() != HttpStatus.SC_OK) {
+                throw new IOException("status " + response.getCode() + " from " + request.getRequestUri());
+            }
+            return mapper.readTree(text);
+        });
+    }
+}
--- /dev/null
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/ThriftServer.java
@@ -0,0 +1,64 @@
+package io.laburnummoor.wire.process;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.Service;
+import org.apache.thrift.TMultiplexedProcessor;
+import org.apache.thrift.TProcessor;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.server.TThreadedSelectorServer;
+import org.apache.thrift.transport.TNonblockingServerSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.jspecify.annotations.Nullable;
+
+/** Serves several Thrift services, told apart by name, on one port. */
+public final class ThriftServer implements Service {
+    private static final int SELECTOR_THREADS = 1;
+
+    private final String host;
+    private final int port;
+    private final int workerThreads;
+    private final TMultiplexedProcessor processor = new TMultiplexedProcessor();
+    private @Nullable TThreadedSelectorServer server;
+
+    /** Creates a server of the given services by name. */
+    public ThriftServer(String host, int port, int workerThreads, Map<String, TProcessor> services) {
+        this.host = host;
+        this.port = port;
+        this.workerThreads = workerThreads;
+        services.forEach(processor::registerProcessor);
+    }
+
+    @Override
+    public void start() {
+        TThreadedSelectorServer created;
+        try {
+            TNonblockingServerSocket socket = new TNonblockingServerSocket(new InetSocketAddress(host, port));
+            created = new TThreadedSelectorServer(new TThreadedSelectorServer.Args(socket)
+                    .processor(processor)
+                    .protocolFactory(new TCompactProtocol.Factory())
+                    .transportFactory(new TFramedTransport.Factory())
+                    .selectorThreads(SELECTOR_THREADS)
+                    .workerThreads(workerThreads));
+        } catch (TTransportException cause) {
+            throw new LaburnummoorException(
+                    ErrorCode.INVALID_SETTINGS,
+                    "cannot listen on " + host + ":" + port + ": " + cause.getMessage(),
+                    cause);
+        }
+        server = created;
+        new Thread(created::serve, "thrift-server").start();
+    }
+
+    @Override
+    public void stop() {
+        TThreadedSelectorServer running = server;
+        if (running != null) {
+            running.stop();
+        }
+    }
+}
