--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/ThriftConnection.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/ThriftConnection.java
@@ -8,7 +8,6 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.protocol.TMultiplexedProtocol;
 import org.apache.thrift.protocol.TProtocol;
-import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransport;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
@@ -32,6 +31,7 @@
     private final int timeoutMillis;
     private final String serviceName;
     private final Function<TProtocol, C> clientFactory;
+    private final PeerSocketFactory sockets;
     private @Nullable TTransport transport;
     private @Nullable C client;
 
@@ -43,6 +43,18 @@
      */
     public ThriftConnection(
             String host, int port, int timeoutMillis, String serviceName, Function<TProtocol, C> clientFactory) {
+        this(host, port, timeoutMillis, serviceName, clientFactory, PeerSocketFactory.PLAIN);
+    }
+
+    /** Creates a connection whose sockets come from the given factory. */
+    public ThriftConnection(
+            String host,
+            int port,
+            int timeoutMillis,
+            String serviceName,
+            Function<TProtocol, C> clientFactory,
+            PeerSocketFactory sockets) {
+        this.sockets = sockets;
         this.host = host;
         this.port = port;
         this.timeoutMillis = timeoutMillis;
@@ -81,8 +93,7 @@
         if (known != null) {
             return known;
         }
-        TTransport framed = new TFramedTransport(new TSocket(host, port, timeoutMillis));
-        framed.open();
+        TTransport framed = new TFramedTransport(sockets.open(host, port, timeoutMillis));
         C opened = clientFactory.apply(new TMultiplexedProtocol(new TCompactProtocol(framed), serviceName));
         transport = framed;
         client = opened;
