--- a/laburnummoor-wire/src/test/java/io/laburnummoor/wire/connection/PeerTlsTest.java
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/connection/PeerTlsTest.java
@@ -20,6 +20,7 @@
 import io.laburnummoor.wire.process.PeerTls;
 import io.laburnummoor.wire.process.ThriftServer;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -34,22 +35,25 @@
     private static final String PASSWORD = "changeit";
 
     @TempDir
-    private Path folder;
+    private static Path folder;
 
     private int port;
     private ThriftServer server;
 
+    @BeforeAll
+    static void createStores() throws Exception {
+        Files.writeString(folder.resolve("password"), PASSWORD);
+        for (String peer : List.of("agent", "router", "renewed", "stranger")) {
+            createPeer(peer);
+        }
+        for (String peer : List.of("router", "renewed", "stranger")) {
+            trust(peer, "agent");
+        }
+    }
+
     @BeforeEach
     void startServer() throws Exception {
-        Files.writeString(folder.resolve("password"), PASSWORD);
-        createPeer("agent");
-        createPeer("router");
-        createPeer("renewed");
-        createPeer("stranger");
         trust("agent", "router");
-        trust("router", "agent");
-        trust("renewed", "agent");
-        trust("stranger", "agent");
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
@@ -95,18 +99,18 @@
         }
     }
 
-    private PeerTls tls(String name) {
+    private static PeerTls tls(String name) {
         return new PeerTls(
                 folder.resolve(name + ".p12"), folder.resolve(name + "-trust.p12"), folder.resolve("password"));
     }
 
-    private void createPeer(String name) throws Exception {
+    private static void createPeer(String name) throws Exception {
         String store = folder.resolve(name + ".p12").toString();
         keytool("-genkeypair", "-alias", name, "-keyalg", "EC", "-dname", "CN=" + name, "-keystore", store);
         keytool("-exportcert", "-alias", name, "-file", certificate(name), "-keystore", store);
     }
 
-    private void trust(String name, String trusted) throws Exception {
+    private static void trust(String name, String trusted) throws Exception {
         Path fresh = folder.resolve("fresh.p12");
         Files.deleteIfExists(fresh);
         keytool(
@@ -121,7 +125,7 @@
         Files.move(fresh, folder.resolve(name + "-trust.p12"), StandardCopyOption.REPLACE_EXISTING);
     }
 
-    private String certificate(String name) {
+    private static String certificate(String name) {
         return folder.resolve(name + ".cer").toString();
     }
 
