--- a/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentHandler.java
+++ b/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentHandler.java
@@ -10,7 +10,10 @@
 import io.laburnummoor.core.connection.UpstreamReport;
 import io.laburnummoor.core.process.AnswerJournal;
 import io.laburnummoor.core.request.FinishReason;
+import io.laburnummoor.core.request.FoundAnswer;
+import io.laburnummoor.core.request.JournalAppend;
 import io.laburnummoor.core.request.JournalEntry;
+import io.laburnummoor.core.request.JournalOpening;
 import io.laburnummoor.core.request.RequestId;
 import io.laburnummoor.wire.generated.AgentService;
 import io.laburnummoor.wire.generated.AgentStatus;
@@ -18,8 +21,6 @@
 import io.laburnummoor.wire.generated.AppendItem;
 import io.laburnummoor.wire.generated.AppendOutcome;
 import io.laburnummoor.wire.generated.AppendReply;
-import io.laburnummoor.wire.generated.JournalEntryMessage;
-import io.laburnummoor.wire.generated.OpenMode;
 import io.laburnummoor.wire.generated.OpenReply;
 import io.laburnummoor.wire.generated.OpenRequest;
 import io.laburnummoor.wire.request.WireMessages;
@@ -68,22 +69,26 @@
     @Override
     public OpenReply openJournal(OpenRequest request) {
         RequestId id = WireMessages.fromWire(request.getId());
-        JournalEntry found = journal.find(id);
-        OpenReply reply = new OpenReply(true);
-        if (found != null) {
-            reply.setFound(encode(found));
-        }
-        if (request.getMode() == OpenMode.WRITE) {
-            recordContact(request.getWriter());
-            reply.setAccepted(journal.open(
-                    id,
-                    request.getEpoch(),
-                    request.getWriter(),
-                    WireMessages.fromWire(request.getBinding()),
-                    request.getBodyDigest(),
-                    WireMessages.fromWire(request.getTokens())));
-        }
-        return reply;
+        return switch (request.getMode()) {
+            case READ -> reply(true, journal.find(id));
+            case TAKE_OVER -> {
+                recordContact(request.getWriter());
+                JournalEntry taken = journal.takeOver(id, request.getEpoch(), request.getWriter());
+                yield reply(taken != null && taken.epoch() == request.getEpoch(), taken);
+            }
+            case WRITE -> {
+                recordContact(request.getWriter());
+                boolean accepted = journal.open(new JournalOpening(
+                        id,
+                        request.getWriter(),
+                        WireMessages.fromWire(request.getBinding()),
+                        request.getBodyDigest(),
+                        WireMessages.historyFromWire(request.getHistory()),
+                        WireMessages.fromWire(request.getTokens()),
+                        request.isCallerAttached()));
+                yield reply(accepted, accepted ? null : journal.find(id));
+            }
+        };
     }
 
     @Override
@@ -97,30 +102,21 @@
     }
 
     private AnswerJournal.AppendResult appendOne(AppendItem item) {
-        RequestId id = WireMessages.fromWire(item.getId());
-        AnswerJournal.AppendResult result =
-                journal.append(id, item.getEpoch(), item.getOffset(), WireMessages.fromWire(item.getTokens()));
-        if (result == AnswerJournal.AppendResult.ACKNOWLEDGED && item.isSetFinishReason()) {
-            FinishReason reason = FinishReason.fromWireName(item.getFinishReason());
-            return journal.finish(id, item.getEpoch(), item.getOffset() + item.getTokensSize(), reason);
-        }
-        return result;
+        return journal.append(new JournalAppend(
+                WireMessages.fromWire(item.getId()),
+                item.getEpoch(),
+                item.getOffset(),
+                WireMessages.fromWire(item.getTokens()),
+                item.isSetFinishReason() ? FinishReason.fromWireName(item.getFinishReason()) : null,
+                item.isCallerAttached()));
     }
 
-    private JournalEntryMessage encode(JournalEntry entry) {
-        JournalEntryMessage message = new JournalEntryMessage(
-                entry.epoch(),
-                entry.writer(),
-                WireMessages.toWire(entry.binding()),
-                entry.bodyDigest(),
-                WireMessages.toWire(entry.tokens()),
-                isAlive(entry.writer()),
-                true);
-        FinishReason reason = entry.finishReason();
-        if (reason != null) {
-            message.setFinishReason(reason.wireName());
+    private OpenReply reply(boolean accepted, @Nullable JournalEntry entry) {
+        OpenReply reply = new OpenReply(accepted);
+        if (entry != null) {
+            reply.setFound(WireMessages.toWire(FoundAnswer.of(entry, isAlive(entry.writer()))));
         }
-        return message;
+        return reply;
     }
 
     private void recordContact(@Nullable String caller) {
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AnswerJournal.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AnswerJournal.java
@@ -1,16 +1,14 @@
 package io.laburnummoor.core.process;
 
 import java.util.Comparator;
-import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.laburnummoor.core.Clock;
-import io.laburnummoor.core.request.Binding;
-import io.laburnummoor.core.request.FinishReason;
+import io.laburnummoor.core.request.JournalAppend;
 import io.laburnummoor.core.request.JournalEntry;
+import io.laburnummoor.core.request.JournalOpening;
 import io.laburnummoor.core.request.RequestId;
-import io.laburnummoor.core.request.Token;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,22 +45,19 @@
     }
 
     /**
-     * Opens an entry for a writer with the given epoch, with the tokens that the writer knows. A writer that continues
-     * an entry found here passes the tokens of that entry.
+     * Opens an entry with all that its writer knows.
      *
-     * @return false if the entry has an epoch at least as high from another writer, or the memory is full
+     * @return false if the entry has a higher epoch or more tokens of the same epoch, or the memory is full
      */
-    public boolean open(
-            RequestId id, long epoch, String writer, Binding binding, String bodyDigest, List<Token> tokens) {
+    public boolean open(JournalOpening opening) {
         long nowMillis = clock.nowMillis();
         makeRoom(nowMillis);
         if (sizeBytes.get() > maxSizeBytes) {
             return false;
         }
-        JournalEntry opened =
-                JournalEntry.open(epoch, writer, binding, bodyDigest, tokens, nowMillis + retentionMillis);
-        JournalEntry result = entries.compute(id, (key, old) -> {
-            if (old != null && !old.yieldsTo(epoch, writer)) {
+        JournalEntry opened = JournalEntry.open(opening, nowMillis + retentionMillis);
+        JournalEntry result = entries.compute(opening.id(), (key, old) -> {
+            if (old != null && !old.yieldsTo(opening.epoch(), opening.tokens().size())) {
                 return old;
             }
             addSize(old, opened);
@@ -72,16 +67,48 @@
     }
 
     /**
-     * Appends tokens at an offset. Tokens that the entry already holds are passed over, so a repeated append is
-     * harmless.
+     * Makes another router the writer of an entry and returns the entry. From then on appends of the writer before are
+     * rejected, so the returned tokens include everything that it has delivered. A finished entry keeps its writer.
+     *
+     * @return the entry, with the given epoch if the takeover took effect, or null if there is none
      */
-    public AppendResult append(RequestId id, long epoch, int offset, List<Token> tokens) {
-        return update(id, epoch, entry -> entry.append(offset, tokens, clock.nowMillis() + retentionMillis));
+    public @Nullable JournalEntry takeOver(RequestId id, long epoch, String writer) {
+        long nowMillis = clock.nowMillis();
+        return entries.computeIfPresent(id, (key, old) -> {
+            if (old.expiryDeadlineMillis() <= nowMillis) {
+                addSize(old, null);
+                return null;
+            }
+            if (old.finishReason() != null || old.epoch() >= epoch) {
+                return old;
+            }
+            JournalEntry taken = old.takeOver(id, epoch, writer, nowMillis + retentionMillis);
+            addSize(old, taken);
+            return taken;
+        });
     }
 
-    /** Records the normal end of an answer with the given number of tokens. */
-    public AppendResult finish(RequestId id, long epoch, int tokenCount, FinishReason reason) {
-        return update(id, epoch, entry -> entry.finish(tokenCount, reason, clock.nowMillis() + retentionMillis));
+    /**
+     * Appends tokens and the end at an offset. Tokens that the entry already holds are passed over, so a repeated append
+     * is harmless.
+     */
+    public AppendResult append(JournalAppend append) {
+        AppendResult[] result = {AppendResult.MISSING};
+        entries.computeIfPresent(append.id(), (key, old) -> {
+            if (old.epoch() > append.epoch()) {
+                result[0] = AppendResult.FENCED;
+                return old;
+            }
+            JournalEntry changed =
+                    old.epoch() < append.epoch() ? null : old.append(append, clock.nowMillis() + retentionMillis);
+            if (changed == null) {
+                return old;
+            }
+            result[0] = AppendResult.ACKNOWLEDGED;
+            addSize(old, changed);
+            return changed;
+        });
+        return result[0];
     }
 
     /** Returns the number of entries. */
@@ -104,24 +131,6 @@
         });
     }
 
-    private AppendResult update(RequestId id, long epoch, EntryChange change) {
-        AppendResult[] result = {AppendResult.MISSING};
-        entries.computeIfPresent(id, (key, old) -> {
-            if (old.epoch() != epoch) {
-                result[0] = AppendResult.FENCED;
-                return old;
-            }
-            JournalEntry changed = change.apply(old);
-            if (changed == null) {
-                return old;
-            }
-            result[0] = AppendResult.ACKNOWLEDGED;
-            addSize(old, changed);
-            return changed;
-        });
-        return result[0];
-    }
-
     private void makeRoom(long nowMillis) {
         if (sizeBytes.get() <= maxSizeBytes) {
             return;
@@ -140,22 +149,17 @@
         }
     }
 
-    private void addSize(@Nullable JournalEntry old, JournalEntry changed) {
-        sizeBytes.addAndGet(changed.sizeBytes() - (old == null ? 0 : old.sizeBytes()));
+    private void addSize(@Nullable JournalEntry old, @Nullable JournalEntry changed) {
+        sizeBytes.addAndGet((changed == null ? 0 : changed.sizeBytes()) - (old == null ? 0 : old.sizeBytes()));
     }
 
     /** Outcome of a change to an entry. */
     public enum AppendResult {
         /** The change is kept. */
         ACKNOWLEDGED,
-        /** Another writer has opened the entry with another epoch. */
+        /** Another writer has opened the entry with a higher epoch. */
         FENCED,
         /** There is no entry, or tokens before the offset are missing; the writer has to open it again. */
         MISSING
     }
-
-    private interface EntryChange {
-        @Nullable
-        JournalEntry apply(JournalEntry entry);
-    }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/Answer.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/Answer.java
@@ -51,7 +51,8 @@
     private long detachDeadlineMillis;
 
     /**
-     * Creates an answer that continues after tokens read from the journal.
+     * Creates an answer that continues after tokens read from the journal. They are delivered once the journal has
+     * acknowledged them under the epoch of this writer.
      *
      * @param maxTokens greatest number of tokens of the whole answer
      * @param journaled tokens that the journal already holds, empty for a new answer
@@ -61,7 +62,6 @@
         this.silencePolicy = silencePolicy;
         this.effects = effects;
         this.accepted = new ArrayList<>(journaled);
-        this.journaledCount = journaled.size();
     }
 
     /** Starts the first attempt, or ends the answer if the journal already holds all of its tokens. */
@@ -144,6 +144,11 @@
         }
     }
 
+    /** Handles the loss of the journal's copy: delivery waits until another agent holds the tokens. */
+    public void onJournalMoved() {
+        journaledCount = 0;
+    }
+
     /** Handles the attachment of a caller that wants the tokens from the given offset on. */
     public void onAttach(int offset) {
         attached = true;
@@ -200,6 +205,11 @@
         return finishReason;
     }
 
+    /** Returns the number of accepted tokens. */
+    public int acceptedCount() {
+        return accepted.size();
+    }
+
     /** Returns a copy of the accepted tokens. */
     public List<Token> accepted() {
         return List.copyOf(accepted);
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/EpochSpan.java
@@ -0,0 +1,45 @@
+package io.laburnummoor.core.request;
+
+import java.util.List;
+
+/**
+ * The part of an answer that was written under one epoch.
+ *
+ * @param epoch epoch of the writer
+ * @param startOffset offset of the first token that may have been written under this epoch
+ */
+public record EpochSpan(long epoch, int startOffset) {
+    private static final int ROUND_SHIFT = 32;
+    private static final long NONCE_MASK = 0xffff_ffffL;
+
+    /**
+     * Returns an epoch higher than the one before. Its low half is the writer's nonce, so that two writers that follow
+     * the same epoch on different agents get different epochs.
+     *
+     * @param before epoch before, 0 for none
+     */
+    public static long nextEpoch(long before, int nonce) {
+        return ((before >>> ROUND_SHIFT) + 1) << ROUND_SHIFT | (nonce & NONCE_MASK);
+    }
+
+    /**
+     * Returns whether the first tokens that a caller holds are the first tokens of an answer with this history. Under
+     * an epoch that another one followed, nothing was delivered behind the start of the next span.
+     *
+     * @param history spans of the answer, the oldest first
+     * @param tokenCount number of tokens of the answer
+     * @param position what the caller holds
+     */
+    public static boolean covers(List<EpochSpan> history, int tokenCount, ResumePosition position) {
+        if (position.offset() == 0) {
+            return true;
+        }
+        for (int i = 0; i < history.size(); i++) {
+            if (history.get(i).epoch() == position.epoch()) {
+                int end = i + 1 < history.size() ? history.get(i + 1).startOffset() : tokenCount;
+                return position.offset() <= end;
+            }
+        }
+        return false;
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/FoundAnswer.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/FoundAnswer.java
@@ -7,7 +7,7 @@
 /**
  * A journaled answer as a router reads it from an agent.
  *
- * @param epoch epoch of its writer
+ * @param history epochs of the answer, the oldest first
  * @param writer name of the writing router
  * @param binding what the answer is bound to
  * @param bodyDigest digest of the request's body
@@ -17,11 +17,40 @@
  * @param callerAttached whether a caller is attached to the writer
  */
 public record FoundAnswer(
-        long epoch,
+        List<EpochSpan> history,
         String writer,
         Binding binding,
         String bodyDigest,
         List<Token> tokens,
         @Nullable FinishReason finishReason,
         boolean writerAlive,
-        boolean callerAttached) {}
+        boolean callerAttached) {
+
+    /** Returns the epoch of the writer. */
+    public long epoch() {
+        return history.get(history.size() - 1).epoch();
+    }
+
+    /** Returns the content of an entry. */
+    public static FoundAnswer of(JournalEntry entry, boolean writerAlive) {
+        return new FoundAnswer(
+                entry.history(),
+                entry.writer(),
+                entry.binding(),
+                entry.bodyDigest(),
+                entry.tokens(),
+                entry.finishReason(),
+                writerAlive,
+                entry.callerAttached());
+    }
+
+    /** Returns whether this copy is newer than another: by epoch, then by the number of tokens, then by its end. */
+    public boolean isNewerThan(FoundAnswer other) {
+        if (epoch() != other.epoch()) {
+            return epoch() > other.epoch();
+        }
+        return tokens.size() != other.tokens.size()
+                ? tokens.size() > other.tokens.size()
+                : finishReason != null && other.finishReason == null;
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalAgents.java
@@ -0,0 +1,16 @@
+package io.laburnummoor.core.request;
+
+import java.util.List;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/** Chooses the agents that keep journals. */
+public interface JournalAgents {
+    /** Returns the best agent for an entry, outside the router's failure domain if one is alive, or null. */
+    @Nullable
+    JournalAgent choose(RequestId id, Set<String> excludedAgentIds);
+
+    /** Returns the agents that may hold the entry of a request, among them the named one if it is known. */
+    List<JournalAgent> readCandidates(RequestId id, @Nullable String namedAgentId);
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalEntry.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalEntry.java
@@ -15,7 +15,7 @@
     private static final long ENTRY_OVERHEAD_BYTES = 400;
     private static final long TOKEN_OVERHEAD_BYTES = 72;
 
-    private final long epoch;
+    private final List<EpochSpan> history;
     private final String writer;
     private final Binding binding;
     private final String bodyDigest;
@@ -23,6 +23,7 @@
     private final int tokenCount;
     private final long sizeBytes;
     private final @Nullable FinishReason finishReason;
+    private final boolean callerAttached;
     private final long expiryDeadlineMillis;
 
     private JournalEntry(
@@ -30,8 +31,9 @@
             int tokenCount,
             long sizeBytes,
             @Nullable FinishReason finishReason,
+            boolean callerAttached,
             long expiryDeadlineMillis) {
-        this.epoch = from.epoch;
+        this.history = from.history;
         this.writer = from.writer;
         this.binding = from.binding;
         this.bodyDigest = from.bodyDigest;
@@ -39,67 +41,82 @@
         this.tokenCount = tokenCount;
         this.sizeBytes = sizeBytes;
         this.finishReason = finishReason;
+        this.callerAttached = callerAttached;
         this.expiryDeadlineMillis = expiryDeadlineMillis;
     }
 
-    private JournalEntry(
-            long epoch,
-            String writer,
-            Binding binding,
-            String bodyDigest,
-            List<Token> tokens,
-            long expiryDeadlineMillis) {
-        this.epoch = epoch;
-        this.writer = writer;
-        this.binding = binding;
-        this.bodyDigest = bodyDigest;
-        this.backing = new ArrayList<>(tokens);
-        this.tokenCount = tokens.size();
-        this.sizeBytes = ENTRY_OVERHEAD_BYTES + tokenBytes(tokens);
+    private JournalEntry(JournalOpening opening, long expiryDeadlineMillis) {
+        this.history = List.copyOf(opening.history());
+        this.writer = opening.writer();
+        this.binding = opening.binding();
+        this.bodyDigest = opening.bodyDigest();
+        this.backing = new ArrayList<>(opening.tokens());
+        this.tokenCount = opening.tokens().size();
+        this.sizeBytes = ENTRY_OVERHEAD_BYTES + tokenBytes(opening.tokens());
         this.finishReason = null;
+        this.callerAttached = opening.callerAttached();
         this.expiryDeadlineMillis = expiryDeadlineMillis;
     }
 
     /** Returns a running entry of a writer. */
-    public static JournalEntry open(
-            long epoch,
-            String writer,
-            Binding binding,
-            String bodyDigest,
-            List<Token> tokens,
-            long expiryDeadlineMillis) {
-        return new JournalEntry(epoch, writer, binding, bodyDigest, tokens, expiryDeadlineMillis);
+    public static JournalEntry open(JournalOpening opening, long expiryDeadlineMillis) {
+        return new JournalEntry(opening, expiryDeadlineMillis);
+    }
+
+    /**
+     * Returns whether a writer with the given epoch and number of tokens may replace this entry. A repeated opening of
+     * the same writer must not remove tokens that were appended after the first one.
+     */
+    public boolean yieldsTo(long newEpoch, int newTokenCount) {
+        return newEpoch > epoch() || (newEpoch == epoch() && newTokenCount >= tokenCount && finishReason == null);
     }
 
-    /** Returns whether a writer with the given epoch may replace this entry. */
-    public boolean yieldsTo(long newEpoch, String newWriter) {
-        return newEpoch > epoch || (newEpoch == epoch && newWriter.equals(writer));
+    /** Returns this entry with another writer that goes on after its tokens. */
+    public JournalEntry takeOver(RequestId id, long newEpoch, String newWriter, long newExpiryDeadlineMillis) {
+        List<EpochSpan> newHistory = new ArrayList<>(history);
+        newHistory.add(new EpochSpan(newEpoch, tokenCount));
+        return new JournalEntry(
+                new JournalOpening(id, newWriter, binding, bodyDigest, newHistory, tokens(), true),
+                newExpiryDeadlineMillis);
     }
 
-    /** Returns this entry with tokens appended at an offset, or null if tokens before the offset are missing. */
-    public @Nullable JournalEntry append(int offset, List<Token> tokens, long newExpiryDeadlineMillis) {
-        if (offset > tokenCount) {
+    /** Returns this entry with an append, or null if tokens before the offset or before the end are missing. */
+    public @Nullable JournalEntry append(JournalAppend append, long newExpiryDeadlineMillis) {
+        int knownCount = Math.min(tokenCount - append.offset(), append.tokens().size());
+        if (knownCount < 0) {
+            return null;
+        }
+        List<Token> added = append.tokens().subList(knownCount, append.tokens().size());
+        int newCount = tokenCount + added.size();
+        boolean ends = append.finishReason() != null;
+        if (ends && newCount != append.offset() + append.tokens().size()) {
             return null;
         }
-        int knownCount = Math.min(tokenCount - offset, tokens.size());
-        List<Token> added = tokens.subList(knownCount, tokens.size());
         synchronized (backing) {
             backing.addAll(added);
         }
         return new JournalEntry(
-                this, tokenCount + added.size(), sizeBytes + tokenBytes(added), finishReason, newExpiryDeadlineMillis);
+                this,
+                newCount,
+                sizeBytes + tokenBytes(added),
+                ends ? append.finishReason() : finishReason,
+                append.callerAttached(),
+                newExpiryDeadlineMillis);
     }
 
-    /** Returns this entry with its end recorded, or null if tokens are missing. */
-    public @Nullable JournalEntry finish(int finalCount, FinishReason reason, long newExpiryDeadlineMillis) {
-        return finalCount == tokenCount
-                ? new JournalEntry(this, tokenCount, sizeBytes, reason, newExpiryDeadlineMillis)
-                : null;
+    /** Returns the epochs of this entry, the oldest first. */
+    public List<EpochSpan> history() {
+        return history;
     }
 
     /** Returns the epoch of the writer. */
     public long epoch() {
-        return epoch;
+        return history.get(history.size() - 1).epoch();
+    }
+
+    /** Returns whether the writer has reported an attached caller. */
+    public boolean callerAttached() {
+        return callerAttached;
     }
 
     /** Returns the name of the writing router. */
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalListener.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalListener.java
@@ -1,4 +1,4 @@
-package io.laburnummoor.router.connection;
+package io.laburnummoor.core.request;
 
 /** Receives the outcome of appends; calls come from the thread of the journal connection. */
 public interface JournalListener {
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalOpening.java
@@ -0,0 +1,29 @@
+package io.laburnummoor.core.request;
+
+import java.util.List;
+
+/**
+ * What a writer sends to an agent that is to keep its journal from now on.
+ *
+ * @param id identity of the request
+ * @param writer name of the writing router
+ * @param binding what the answer is bound to
+ * @param bodyDigest digest of the request's body
+ * @param history epochs of the answer, the last one that of this writer
+ * @param tokens all accepted tokens
+ * @param callerAttached whether a caller is attached to the writer
+ */
+public record JournalOpening(
+        RequestId id,
+        String writer,
+        Binding binding,
+        String bodyDigest,
+        List<EpochSpan> history,
+        List<Token> tokens,
+        boolean callerAttached) {
+
+    /** Returns the epoch of this writer. */
+    public long epoch() {
+        return history.get(history.size() - 1).epoch();
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalWriter.java
@@ -0,0 +1,253 @@
+package io.laburnummoor.core.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executor;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the journal of one answer on one agent and moves it to another agent when that one fails.
+ *
+ * <p>All methods are called by the serial executor of the request. Tokens that are appended while the journal is being
+ * opened are sent when it is open.
+ */
+public final class JournalWriter {
+    /** Interval at which an entry without new tokens is renewed, so that a takeover is noticed while no token comes. */
+    static final long RENEW_INTERVAL_MILLIS = 1_000;
+
+    private final JournalAgents agents;
+    private final GenerationRequest request;
+    private final String routerName;
+    private final Executor serial;
+    private final Answer answer;
+    private final Binding binding;
+    private final int nonce;
+    private final Listener listener;
+    private final Set<String> failedAgentIds = new HashSet<>();
+    private final List<EpochSpan> history = new ArrayList<>();
+
+    private @Nullable JournalAgent agent;
+    private boolean open;
+    private boolean searching;
+    private boolean stopped;
+    private long renewAtMillis = Long.MAX_VALUE;
+
+    /**
+     * Creates a writer that has not opened an entry yet.
+     *
+     * @param nonce random number that tells the epochs of this writer from those of others
+     */
+    public JournalWriter(
+            JournalAgents agents,
+            GenerationRequest request,
+            String routerName,
+            Executor serial,
+            Answer answer,
+            Binding binding,
+            int nonce,
+            Listener listener) {
+        this.agents = agents;
+        this.request = request;
+        this.routerName = routerName;
+        this.serial = serial;
+        this.answer = answer;
+        this.binding = binding;
+        this.nonce = nonce;
+        this.listener = listener;
+    }
+
+    /** Opens a new entry on the best agent. */
+    public void openNew() {
+        nextEpoch();
+        openOnNextAgent();
+    }
+
+    /** Goes on with an entry that was taken over, on the same agent if that one may keep it. */
+    public void adopt(JournalAgent takenFrom, FoundAnswer taken) {
+        history.addAll(taken.history());
+        if (takenFrom.isInOtherDomain()) {
+            agent = takenFrom;
+            open = true;
+            listener.onAcknowledged(taken.tokens().size(), false);
+        } else {
+            nextEpoch();
+            openOnNextAgent();
+        }
+    }
+
+    /** Sends accepted tokens. */
+    public void append(int offset, List<Token> tokens) {
+        send(offset, tokens, null);
+    }
+
+    /** Sends the end of the answer. */
+    public void finish(int tokenCount, FinishReason reason) {
+        send(tokenCount, List.of(), reason);
+    }
+
+    /** Sends nothing from now on. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /** Reports at once whether a caller is attached. */
+    public void reportCaller() {
+        renewAtMillis = Long.MIN_VALUE;
+    }
+
+    /** Looks for an agent again if none was found before, and renews the entry. */
+    public void onTick(long nowMillis) {
+        if (searching) {
+            failedAgentIds.clear();
+            openOnNextAgent();
+        }
+        if (nowMillis >= renewAtMillis) {
+            send(answer.acceptedCount(), List.of(), answer.finishReason());
+            renewAtMillis = nowMillis + RENEW_INTERVAL_MILLIS;
+        } else if (renewAtMillis == Long.MAX_VALUE) {
+            renewAtMillis = nowMillis + RENEW_INTERVAL_MILLIS;
+        }
+    }
+
+    /** Returns the position behind the given number of tokens. */
+    public ResumePosition position(int offset) {
+        JournalAgent current = agent;
+        return new ResumePosition(current == null ? "" : current.id(), epoch(), offset);
+    }
+
+    /** Returns whether the tokens that a caller holds are the first ones of this answer. */
+    public boolean covers(ResumePosition position) {
+        return EpochSpan.covers(history, answer.acceptedCount(), position);
+    }
+
+    private long epoch() {
+        return history.get(history.size() - 1).epoch();
+    }
+
+    /** A higher epoch tells the new copy of an entry from the one left behind. */
+    private void nextEpoch() {
+        long before = history.isEmpty() ? 0 : epoch();
+        history.add(new EpochSpan(EpochSpan.nextEpoch(before, nonce), answer.acceptedCount()));
+    }
+
+    private void openOnNextAgent() {
+        JournalAgent chosen = agents.choose(request.id(), failedAgentIds);
+        agent = chosen;
+        open = false;
+        searching = chosen == null;
+        if (chosen == null) {
+            listener.onNoAgent();
+            return;
+        }
+        List<Token> tokens = answer.accepted();
+        JournalOpening opening = new JournalOpening(
+                request.id(),
+                routerName,
+                binding,
+                request.bodyDigest(),
+                List.copyOf(history),
+                tokens,
+                answer.isAttached());
+        chosen.open(opening, reply -> serial.execute(() -> onOpenReply(chosen, opening, reply)));
+    }
+
+    private void onOpenReply(JournalAgent chosen, JournalOpening opening, @Nullable JournalReply reply) {
+        if (stopped || chosen != agent || open || opening.epoch() != epoch()) {
+            return;
+        }
+        if (reply == null || (!reply.accepted() && !isHigherEpoch(reply))) {
+            moveFrom(chosen);
+            return;
+        }
+        if (!reply.accepted()) {
+            listener.onFenced();
+            return;
+        }
+        open = true;
+        int sentCount = opening.tokens().size();
+        listener.onAcknowledged(sentCount, false);
+        sendMissing(sentCount);
+    }
+
+    private boolean isHigherEpoch(JournalReply reply) {
+        FoundAnswer found = reply.found();
+        return found != null && found.epoch() > epoch();
+    }
+
+    /** Sends what was accepted while the entry was being opened. */
+    private void sendMissing(int sentCount) {
+        List<Token> accepted = answer.accepted();
+        FinishReason reason = answer.finishReason();
+        if (accepted.size() > sentCount || reason != null) {
+            send(sentCount, accepted.subList(sentCount, accepted.size()), reason);
+        }
+    }
+
+    private void send(int offset, List<Token> tokens, @Nullable FinishReason reason) {
+        JournalAgent current = agent;
+        if (open && !stopped && current != null) {
+            JournalAppend append =
+                    new JournalAppend(request.id(), epoch(), offset, tokens, reason, answer.isAttached());
+            current.append(append, new EpochListener(current, epoch()));
+        }
+    }
+
+    private void moveFrom(JournalAgent failed) {
+        failedAgentIds.add(failed.id());
+        listener.onMoved();
+        nextEpoch();
+        openOnNextAgent();
+    }
+
+    /** Events of the journal of one answer, called by the serial executor of the request. */
+    public interface Listener {
+        /** The first {@code tokenCount} tokens, and the end if it was sent, are kept. */
+        void onAcknowledged(int tokenCount, boolean endAcknowledged);
+
+        /** The agent failed; no token counts as kept until the next agent holds the entry. */
+        void onMoved();
+
+        /** Another router has become the writer. */
+        void onFenced();
+
+        /** No agent can keep the entry now. */
+        void onNoAgent();
+    }
+
+    /** Passes on the outcome of appends unless the journal has moved since they were sent. */
+    private final class EpochListener implements JournalListener {
+        private final JournalAgent sentTo;
+        private final long sentEpoch;
+
+        EpochListener(JournalAgent sentTo, long sentEpoch) {
+            this.sentTo = sentTo;
+            this.sentEpoch = sentEpoch;
+        }
+
+        @Override
+        public void onAcknowledged(int tokenCount, boolean endAcknowledged) {
+            ifCurrent(() -> listener.onAcknowledged(tokenCount, endAcknowledged));
+        }
+
+        @Override
+        public void onFenced() {
+            ifCurrent(listener::onFenced);
+        }
+
+        @Override
+        public void onLost() {
+            ifCurrent(() -> moveFrom(sentTo));
+        }
+
+        private void ifCurrent(Runnable action) {
+            serial.execute(() -> {
+                if (!stopped && sentTo == agent && sentEpoch == epoch()) {
+                    action.run();
+                }
+            });
+        }
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/OpenDecision.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/OpenDecision.java
@@ -34,11 +34,11 @@
             throw new LaburnummoorException(
                     ErrorCode.KEY_REUSED, "the idempotency key was used before with another body");
         }
-        if (offset > found.tokens().size()) {
+        if (resume != null && !EpochSpan.covers(found.history(), found.tokens().size(), resume)) {
             throw new LaburnummoorException(
                     ErrorCode.ANSWER_LOST,
-                    "the answer cannot go on at token " + offset + ": the journal ends at token "
-                            + found.tokens().size());
+                    "the answer cannot go on at token " + offset + ": the journal has another copy with "
+                            + found.tokens().size() + " tokens");
         }
         if (found.finishReason() != null) {
             return REPLAY;
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalPeer.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalPeer.java
@@ -10,13 +10,18 @@
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.connection.Upstream;
 import io.laburnummoor.core.request.FinishReason;
+import io.laburnummoor.core.request.JournalAgent;
+import io.laburnummoor.core.request.JournalAppend;
+import io.laburnummoor.core.request.JournalListener;
+import io.laburnummoor.core.request.JournalOpening;
+import io.laburnummoor.core.request.JournalReply;
 import io.laburnummoor.core.request.RequestId;
-import io.laburnummoor.core.request.Token;
 import io.laburnummoor.wire.connection.ThriftConnection;
 import io.laburnummoor.wire.generated.AgentService;
 import io.laburnummoor.wire.generated.AppendBatch;
 import io.laburnummoor.wire.generated.AppendItem;
 import io.laburnummoor.wire.generated.AppendOutcome;
+import io.laburnummoor.wire.generated.OpenMode;
 import io.laburnummoor.wire.generated.OpenReply;
 import io.laburnummoor.wire.generated.OpenRequest;
 import io.laburnummoor.wire.request.WireMessages;
@@ -27,7 +32,7 @@
  *
  * <p>One thread sends; appends of many requests that arrive while a batch is in flight form the next batch.
  */
-public final class JournalPeer implements Service {
+public final class JournalPeer implements JournalAgent, Service {
     /** Time without an answer after which the journal moves to another agent. */
     static final int TIMEOUT_MILLIS = 250;
 
@@ -35,23 +40,30 @@
 
     private final Upstream agent;
     private final String routerName;
+    private final boolean inOtherDomain;
     private final ThriftConnection<AgentService.Client> client;
     private final BlockingQueue<Work> queue = new LinkedBlockingQueue<>();
     private final Thread sender;
 
-    /** Creates the connection of a router to an agent. */
-    public JournalPeer(Upstream agent, String routerName) {
+    /** Creates the connection of a router in a failure domain to an agent. */
+    public JournalPeer(Upstream agent, String routerName, String routerFailureDomain) {
         this.agent = agent;
         this.routerName = routerName;
+        this.inOtherDomain = !agent.failureDomain().equals(routerFailureDomain);
         this.client = new ThriftConnection<>(
                 agent.host(), agent.agentPort(), TIMEOUT_MILLIS, "agent", AgentService.Client::new);
         this.sender = new Thread(this::run, "journal-" + agent.id());
         this.sender.setDaemon(true);
     }
 
-    /** Returns the agent of this connection. */
-    public Upstream agent() {
-        return agent;
+    @Override
+    public String id() {
+        return agent.id();
+    }
+
+    @Override
+    public boolean isInOtherDomain() {
+        return inOtherDomain;
     }
 
     @Override
@@ -64,20 +76,34 @@
         sender.interrupt();
     }
 
-    /** Opens or reads an entry; the reply is null if the agent did not answer. */
-    public void open(OpenRequest request, Consumer<@Nullable OpenReply> replyHandler) {
+    @Override
+    public void read(RequestId id, Consumer<@Nullable JournalReply> replyHandler) {
+        queue.add(new OpenWork(new OpenRequest(WireMessages.toWire(id), OpenMode.READ), replyHandler));
+    }
+
+    @Override
+    public void takeOver(RequestId id, long epoch, String writer, Consumer<@Nullable JournalReply> replyHandler) {
+        OpenRequest request = new OpenRequest(WireMessages.toWire(id), OpenMode.TAKE_OVER);
+        request.setEpoch(epoch);
+        request.setWriter(writer);
+        queue.add(new OpenWork(request, replyHandler));
+    }
+
+    @Override
+    public void open(JournalOpening opening, Consumer<@Nullable JournalReply> replyHandler) {
+        OpenRequest request = new OpenRequest(WireMessages.toWire(opening.id()), OpenMode.WRITE);
+        request.setWriter(opening.writer());
+        request.setBinding(WireMessages.toWire(opening.binding()));
+        request.setBodyDigest(opening.bodyDigest());
+        request.setTokens(WireMessages.toWire(opening.tokens()));
+        request.setHistory(WireMessages.historyToWire(opening.history()));
+        request.setCallerAttached(opening.callerAttached());
         queue.add(new OpenWork(request, replyHandler));
     }
 
-    /** Appends tokens and, unless the reason is null, the end. */
-    public void append(
-            RequestId id,
-            long epoch,
-            int offset,
-            List<Token> tokens,
-            @Nullable FinishReason reason,
-            JournalListener listener) {
-        queue.add(new AppendWork(id, epoch, offset, tokens, reason, listener));
+    @Override
+    public void append(JournalAppend append, JournalListener listener) {
+        queue.add(new AppendWork(append, listener));
     }
 
     private void run() {
@@ -112,9 +138,11 @@
     }
 
     private void sendOpen(OpenWork open) {
-        OpenReply reply = null;
+        JournalReply reply = null;
         try {
-            reply = client.call(agentService -> agentService.openJournal(open.request));
+            OpenReply answered = client.call(agentService -> agentService.openJournal(open.request));
+            reply = new JournalReply(
+                    answered.isAccepted(), answered.isSetFound() ? WireMessages.fromWire(answered.getFound()) : null);
         } catch (LaburnummoorException unanswered) {
             // The reply stays null, which tells the request that the agent did not answer.
         }
@@ -138,19 +166,18 @@
 
     private interface Work {}
 
-    private record OpenWork(OpenRequest request, Consumer<@Nullable OpenReply> replyHandler) implements Work {}
+    private record OpenWork(OpenRequest request, Consumer<@Nullable JournalReply> replyHandler) implements Work {}
 
-    private record AppendWork(
-            RequestId id,
-            long epoch,
-            int offset,
-            List<Token> tokens,
-            @Nullable FinishReason reason,
-            JournalListener listener)
-            implements Work {
+    private record AppendWork(JournalAppend append, JournalListener listener) implements Work {
 
         AppendItem encode() {
-            AppendItem item = new AppendItem(WireMessages.toWire(id), epoch, offset, WireMessages.toWire(tokens));
+            AppendItem item = new AppendItem(
+                    WireMessages.toWire(append.id()),
+                    append.epoch(),
+                    append.offset(),
+                    WireMessages.toWire(append.tokens()),
+                    append.callerAttached());
+            FinishReason reason = append.finishReason();
             if (reason != null) {
                 item.setFinishReason(reason.wireName());
             }
@@ -159,7 +186,7 @@
 
         void complete(AppendOutcome outcome) {
             if (outcome == AppendOutcome.ACKNOWLEDGED) {
-                listener.onAcknowledged(offset + tokens.size(), reason != null);
+                listener.onAcknowledged(append.offset() + append.tokens().size(), append.finishReason() != null);
             } else if (outcome == AppendOutcome.FENCED) {
                 listener.onFenced();
             } else {
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalPeers.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalPeers.java
@@ -11,11 +11,13 @@
 import io.laburnummoor.core.connection.UpstreamState;
 import io.laburnummoor.core.process.RendezvousHash;
 import io.laburnummoor.core.process.RoutingTable;
+import io.laburnummoor.core.request.JournalAgent;
+import io.laburnummoor.core.request.JournalAgents;
 import io.laburnummoor.core.request.RequestId;
 import org.jspecify.annotations.Nullable;
 
 /** Chooses the agents that keep journals and holds the connections to them. */
-public final class JournalPeers implements Service {
+public final class JournalPeers implements JournalAgents, Service {
     private static final int READ_CANDIDATES = 4;
 
     private final RoutingTable routing;
@@ -32,8 +34,8 @@
         this.clock = clock;
     }
 
-    /** Returns the best agent for a new entry, outside this router's failure domain if one is alive, or null. */
-    public @Nullable JournalPeer choose(RequestId id, Set<String> excludedAgentIds) {
+    @Override
+    public @Nullable JournalAgent choose(RequestId id, Set<String> excludedAgentIds) {
         JournalPeer sameDomain = null;
         for (UpstreamState each : ranked(id)) {
             if (excludedAgentIds.contains(each.upstream().id())) {
@@ -49,12 +51,10 @@
         return sameDomain;
     }
 
-    /**
-     * Returns the agents that may hold the entry of a request: the named one, the first in rank, and the first in rank
-     * outside the failure domain of the first.
-     */
-    public List<JournalPeer> readCandidates(RequestId id, @Nullable String namedAgentId) {
-        List<JournalPeer> candidates = new ArrayList<>();
+    /** Besides the named agent, the first in rank may hold the entry, and the first outside the first one's domain. */
+    @Override
+    public List<JournalAgent> readCandidates(RequestId id, @Nullable String namedAgentId) {
+        List<JournalAgent> candidates = new ArrayList<>();
         UpstreamState named = namedAgentId == null ? null : routing.snapshot().find(namedAgentId);
         if (named != null) {
             candidates.add(peer(named.upstream()));
@@ -91,13 +91,13 @@
 
     private JournalPeer peer(Upstream agent) {
         return peers.computeIfAbsent(agent, added -> {
-            JournalPeer peer = new JournalPeer(added, routerName);
+            JournalPeer peer = new JournalPeer(added, routerName, failureDomain);
             peer.start();
             return peer;
         });
     }
 
-    private static void addIfAbsent(List<JournalPeer> candidates, JournalPeer peer) {
+    private static void addIfAbsent(List<JournalAgent> candidates, JournalPeer peer) {
         if (!candidates.contains(peer)) {
             candidates.add(peer);
         }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 
 import io.laburnummoor.core.ErrorCode;
 import io.laburnummoor.core.LaburnummoorException;
@@ -22,7 +24,9 @@
 import io.laburnummoor.core.request.FinishReason;
 import io.laburnummoor.core.request.FoundAnswer;
 import io.laburnummoor.core.request.GenerationRequest;
-import io.laburnummoor.core.request.OpenDecision;
+import io.laburnummoor.core.request.JournalAgent;
+import io.laburnummoor.core.request.JournalOpener;
+import io.laburnummoor.core.request.JournalWriter;
 import io.laburnummoor.core.request.Priority;
 import io.laburnummoor.core.request.ResumePosition;
 import io.laburnummoor.core.request.SerialExecutor;
@@ -49,12 +53,15 @@
     private final SerialExecutor serial = new SerialExecutor(this::onUnexpectedFailure);
     private final Map<Integer, RunningAttempt> attempts = new HashMap<>();
     private final Effects effects = new Effects();
+    private final Opened opened = new Opened();
+    private final int nonce = ThreadLocalRandom.current().nextInt();
 
     private @Nullable Answer answer;
     private @Nullable JournalWriter journal;
     private @Nullable Binding binding;
     private @Nullable CallerStream caller;
     private @Nullable ResumePosition callerPosition;
+    private boolean callerOpened;
     private @Nullable String lostFailureDomain;
     private boolean ended;
 
@@ -85,14 +92,10 @@
             caller = firstCaller;
             callerPosition = resume;
             if (keyIsNew) {
-                onJournalRead(null);
+                opened.onFresh();
                 return;
             }
-            String namedAgentId = resume == null ? null : resume.journalAgentId();
-            JournalReader.read(
-                    request.id(),
-                    context.journals().readCandidates(request.id(), namedAgentId),
-                    found -> serial.execute(() -> onJournalRead(found)));
+            new JournalOpener(context.journals(), request, resume, context.routerName(), nonce, serial, opened).start();
         });
     }
 
@@ -105,17 +108,18 @@
                 return;
             }
             CallerStream before = caller;
+            if (resume != null && (journal == null || !journal.covers(resume))) {
+                next.fail(ErrorCode.ANSWER_LOST, "the running answer is not the one that sent " + resume);
+                return;
+            }
             if (before != null && running.isAttached()) {
                 before.fail(ErrorCode.SUPERSEDED, "another connection has resumed this answer");
             }
-            int offset = resume == null ? 0 : resume.offset();
-            if (offset > running.accepted().size()) {
-                next.fail(ErrorCode.ANSWER_LOST, "the answer has not reached token " + offset);
-                return;
-            }
             caller = next;
-            next.open(request.id().key());
-            running.onAttach(offset);
+            callerOpened = false;
+            openCaller();
+            running.onAttach(resume == null ? 0 : resume.offset());
+            reportCaller();
         });
     }
 
@@ -124,6 +128,7 @@
         serial.execute(() -> {
             if (lost == caller && answer != null) {
                 answer.onDetach(context.clock().nowMillis());
+                reportCaller();
             }
         });
     }
@@ -135,7 +140,7 @@
                 answer.onTick(context.clock().nowMillis());
             }
             if (journal != null && !ended) {
-                journal.onTick();
+                journal.onTick(context.clock().nowMillis());
             }
         });
     }
@@ -176,19 +181,17 @@
         });
     }
 
-    private void onJournalRead(@Nullable FoundAnswer found) {
-        try {
-            OpenDecision decision = OpenDecision.decide(found, callerPosition, request.bodyDigest());
-            if (found == null || decision == OpenDecision.FRESH) {
-                begin(chooseBinding(), List.of(), 1);
-            } else if (decision == OpenDecision.REPLAY) {
-                replay(found);
-            } else {
-                context.metrics().answerTakenOver();
-                begin(found.binding(), found.tokens(), found.epoch() + 1);
-            }
-        } catch (LaburnummoorException refused) {
-            fail(refused.errorCode(), String.valueOf(refused.getMessage()));
+    private void openCaller() {
+        CallerStream attached = caller;
+        if (attached != null && !callerOpened) {
+            callerOpened = true;
+            attached.open(request.id().key());
+        }
+    }
+
+    private void reportCaller() {
+        if (journal != null) {
+            journal.reportCaller();
         }
     }
 
@@ -208,24 +211,21 @@
                 seed == null ? RendezvousHash.hash(request.id().toString()) : seed);
     }
 
-    private void begin(Binding chosen, List<Token> journaled, long epoch) {
+    private void begin(Binding chosen, List<Token> journaled, Consumer<JournalWriter> opening) {
         TokenPace pace = context.paces().apply(chosen.service() + "/" + chosen.version());
         Answer created = new Answer(request.maxTokens(), journaled, pace, effects);
         JournalWriter writer = new JournalWriter(
-                context.journals(), request, context.routerName(), serial, created, chosen, new JournalEvents());
+                context.journals(), request, context.routerName(), serial, created, chosen, nonce, new JournalEvents());
         binding = chosen;
         answer = created;
         journal = writer;
-        writer.open(epoch);
+        created.onAttach(callerPosition == null ? 0 : callerPosition.offset());
+        opening.accept(writer);
         if (ended) {
             return;
         }
-        CallerStream first = caller;
-        if (first != null) {
-            first.open(request.id().key());
-        }
+        openCaller();
         created.start(context.clock().nowMillis());
-        created.onAttach(callerPosition == null ? 0 : callerPosition.offset());
     }
 
     private void replay(FoundAnswer found) {
@@ -237,7 +237,7 @@
         int offset = callerPosition == null ? 0 : callerPosition.offset();
         List<Token> tokens = found.tokens();
         String agentId = callerPosition == null ? "" : callerPosition.journalAgentId();
-        first.open(request.id().key());
+        openCaller();
         first.tokens(
                 offset,
                 tokens.subList(offset, tokens.size()),
@@ -278,6 +278,9 @@
 
     private void end() {
         ended = true;
+        if (journal != null) {
+            journal.stop();
+        }
         endHandler.run();
     }
 
@@ -347,8 +350,8 @@
         public void deliver(int offset, List<Token> tokens) {
             CallerStream attached = caller;
             if (attached != null && journal != null) {
-                attached.tokens(
-                        offset, tokens, new ResumePosition(journal.agentId(), journal.epoch(), offset + tokens.size()));
+                openCaller();
+                attached.tokens(offset, tokens, journal.position(offset + tokens.size()));
                 context.metrics().tokensDelivered(tokens.size());
             }
         }
@@ -396,6 +399,34 @@
         }
     }
 
+    /** Goes on as the state of the journal demands. */
+    private final class Opened implements JournalOpener.Listener {
+        @Override
+        public void onFresh() {
+            try {
+                begin(chooseBinding(), List.of(), JournalWriter::openNew);
+            } catch (LaburnummoorException refused) {
+                onRefused(refused.errorCode(), String.valueOf(refused.getMessage()));
+            }
+        }
+
+        @Override
+        public void onFinished(FoundAnswer found) {
+            replay(found);
+        }
+
+        @Override
+        public void onTakenOver(JournalAgent holder, FoundAnswer taken) {
+            context.metrics().answerTakenOver();
+            begin(taken.binding(), taken.tokens(), writer -> writer.adopt(holder, taken));
+        }
+
+        @Override
+        public void onRefused(ErrorCode code, String detail) {
+            fail(code, detail);
+        }
+    }
+
     /** Passes events of the journal to the answer. */
     private final class JournalEvents implements JournalWriter.Listener {
         @Override
@@ -405,6 +436,13 @@
             }
         }
 
+        @Override
+        public void onMoved() {
+            if (answer != null) {
+                answer.onJournalMoved();
+            }
+        }
+
         @Override
         public void onFenced() {
             if (answer != null) {
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/request/WireMessages.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/request/WireMessages.java
@@ -4,9 +4,14 @@
 import java.util.List;
 
 import io.laburnummoor.core.request.Binding;
+import io.laburnummoor.core.request.EpochSpan;
+import io.laburnummoor.core.request.FinishReason;
+import io.laburnummoor.core.request.FoundAnswer;
 import io.laburnummoor.core.request.RequestId;
 import io.laburnummoor.core.request.Token;
+import io.laburnummoor.wire.generated.JournalEntryMessage;
 import io.laburnummoor.wire.generated.WireBinding;
+import io.laburnummoor.wire.generated.WireEpochSpan;
 import io.laburnummoor.wire.generated.WireRequestId;
 import io.laburnummoor.wire.generated.WireToken;
 
@@ -51,4 +56,48 @@
         }
         return tokens;
     }
+
+    /** Returns the structs of a history. */
+    public static List<WireEpochSpan> historyToWire(List<EpochSpan> history) {
+        return history.stream()
+                .map(span -> new WireEpochSpan(span.epoch(), span.startOffset()))
+                .toList();
+    }
+
+    /** Returns the history of structs. */
+    public static List<EpochSpan> historyFromWire(List<WireEpochSpan> history) {
+        return history.stream()
+                .map(span -> new EpochSpan(span.getEpoch(), span.getStartOffset()))
+                .toList();
+    }
+
+    /** Returns the struct of a journaled answer. */
+    public static JournalEntryMessage toWire(FoundAnswer found) {
+        JournalEntryMessage message = new JournalEntryMessage(
+                historyToWire(found.history()),
+                found.writer(),
+                toWire(found.binding()),
+                found.bodyDigest(),
+                toWire(found.tokens()),
+                found.writerAlive(),
+                found.callerAttached());
+        FinishReason reason = found.finishReason();
+        if (reason != null) {
+            message.setFinishReason(reason.wireName());
+        }
+        return message;
+    }
+
+    /** Returns the journaled answer of a struct. */
+    public static FoundAnswer fromWire(JournalEntryMessage message) {
+        return new FoundAnswer(
+                historyFromWire(message.getHistory()),
+                message.getWriter(),
+                fromWire(message.getBinding()),
+                message.getBodyDigest(),
+                fromWire(message.getTokens()),
+                message.isSetFinishReason() ? FinishReason.fromWireName(message.getFinishReason()) : null,
+                message.isWriterAlive(),
+                message.isCallerAttached());
+    }
 }
--- a/laburnummoor-wire/src/main/thrift/agent.thrift
+++ b/laburnummoor-wire/src/main/thrift/agent.thrift
@@ -42,20 +42,33 @@
   READ = 0
   /** Create the entry or replace one with a lower epoch. */
   WRITE = 1
+  /** Become the writer of the entry and read it in one step; a finished entry is read only. */
+  TAKE_OVER = 2
+}
+
+/** The part of an answer that was written under one epoch. */
+struct WireEpochSpan {
+  1: required i64 epoch
+  /** Offset of the first token that may have been written under this epoch. */
+  2: required i32 startOffset
 }
 
 struct OpenRequest {
   1: required WireRequestId id
   2: required OpenMode mode
+  /** For TAKE_OVER. */
   3: optional i64 epoch
   4: optional string writer
   5: optional WireBinding binding
   6: optional string bodyDigest
   7: optional list<WireToken> tokens
+  /** For WRITE: all epochs of the answer, the last one that of the writer. */
+  8: optional list<WireEpochSpan> history
+  9: optional bool callerAttached
 }
 
 struct JournalEntryMessage {
-  1: required i64 epoch
+  1: required list<WireEpochSpan> history
   2: required string writer
   3: required WireBinding binding
   4: required string bodyDigest
@@ -69,7 +82,7 @@
 
 struct OpenReply {
   1: required bool accepted
-  /** The entry before this request, if there was one. */
+  /** READ and TAKE_OVER: the entry as it is now. WRITE: the entry that stands in the way, if there is one. */
   2: optional JournalEntryMessage found
 }
 
@@ -79,6 +92,7 @@
   3: required i32 offset
   4: required list<WireToken> tokens
   5: optional string finishReason
+  6: required bool callerAttached
 }
 
 struct AppendBatch {
