--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/request/JournalLoad.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/request/JournalLoad.java
@@ -11,6 +11,7 @@
 import io.laburnummoor.wire.generated.AppendItem;
 import io.laburnummoor.wire.generated.OpenMode;
 import io.laburnummoor.wire.generated.OpenRequest;
+import io.laburnummoor.wire.generated.WireEpochSpan;
 import io.laburnummoor.wire.generated.WireRequestId;
 import io.laburnummoor.wire.request.WireMessages;
 
@@ -30,7 +31,8 @@
             WireRequestId id = new WireRequestId("office", name + "-" + i);
             ids.add(id);
             OpenRequest open = new OpenRequest(id, OpenMode.WRITE);
-            open.setEpoch(1);
+            open.setHistory(List.of(new WireEpochSpan(1, 0)));
+            open.setCallerAttached(true);
             open.setWriter(WRITER);
             open.setBinding(WireMessages.toWire(BINDING));
             open.setBodyDigest("digest");
@@ -49,7 +51,8 @@
     public AppendBatch nextBatch() {
         AppendBatch batch = new AppendBatch(WRITER, new ArrayList<>());
         for (WireRequestId id : ids) {
-            batch.addToItems(new AppendItem(id, 1, offset, WireMessages.toWire(List.of(new Token(offset, " word")))));
+            batch.addToItems(
+                    new AppendItem(id, 1, offset, WireMessages.toWire(List.of(new Token(offset, " word"))), true));
         }
         offset++;
         return batch;
