--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ConfigSet.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ConfigSet.java
@@ -15,10 +15,24 @@
     private final Map<String, ServiceDeclaration> services;
     private final Map<String, OrganisationDeclaration> organisations;
     private final Map<String, OrganisationDeclaration> organisationsByKey;
+    private final List<VersionDeclaration> versions;
+    private final List<RolloutDeclaration> rollouts;
 
-    /** Creates a set of declarations. */
+    /** Creates a set of declarations without upstream versions and rollouts. */
     public ConfigSet(long revision, List<ServiceDeclaration> services, List<OrganisationDeclaration> organisations) {
+        this(revision, services, organisations, List.of(), List.of());
+    }
+
+    /** Creates a set of declarations. */
+    public ConfigSet(
+            long revision,
+            List<ServiceDeclaration> services,
+            List<OrganisationDeclaration> organisations,
+            List<VersionDeclaration> versions,
+            List<RolloutDeclaration> rollouts) {
         this.revision = revision;
+        this.versions = List.copyOf(versions);
+        this.rollouts = List.copyOf(rollouts);
         Map<String, ServiceDeclaration> byName = new LinkedHashMap<>();
         services.forEach(each -> byName.put(each.name(), each));
         Map<String, OrganisationDeclaration> organisationsByName = new LinkedHashMap<>();
@@ -61,4 +75,22 @@
     public List<OrganisationDeclaration> organisations() {
         return List.copyOf(organisations.values());
     }
+
+    /** Returns all upstream versions. */
+    public List<VersionDeclaration> versions() {
+        return versions;
+    }
+
+    /** Returns the declaration of an upstream version, or null. */
+    public @Nullable VersionDeclaration version(String service, String version) {
+        return versions.stream()
+                .filter(each -> each.service().equals(service) && each.version().equals(version))
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** Returns all rollouts. */
+    public List<RolloutDeclaration> rollouts() {
+        return rollouts;
+    }
 }
