Keep configuration history and spread it between routers

The configuration was one value that every router read each second, so its cost grew with the fleet and a change rewrote the whole set. The head now holds the newest delta, two routers per failure domain watch it and the others ask peers by revision. Operators get check, diff, apply and status.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -17,6 +17,8 @@
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.connection.RouterPeer;
 import io.laburnummoor.core.connection.Upstream;
+import io.laburnummoor.core.process.ConfigPublisher;
+import io.laburnummoor.core.process.ConfigRepository;
 import io.laburnummoor.core.process.KeyValueStore;
 import io.laburnummoor.core.version.ConfigSet;
 import io.laburnummoor.core.version.OrganisationDeclaration;
@@ -24,7 +26,6 @@
 import io.laburnummoor.router.process.ReadinessCheck;
 import io.laburnummoor.router.process.RouterModule;
 import io.laburnummoor.router.process.RouterSettings;
-import io.laburnummoor.router.version.ConfigFollower;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JsonHttp;
 import io.laburnummoor.wire.version.ConfigCodec;
@@ -140,7 +141,9 @@
         OrganisationDeclaration organisation =
                 new OrganisationDeclaration("office", List.of(DigestUtils.sha256Hex(CALLER_KEY)), 100_000, 100_000_000);
         ConfigSet set = new ConfigSet(1, List.of(service), List.of(organisation));
-        keyValueStore().compareAndSwap(ConfigFollower.CONFIG_KEY, KeyValueStore.ABSENT, new ConfigCodec().encode(set));
+        ConfigCodec codec = new ConfigCodec();
+        ConfigPublisher publisher = new ConfigPublisher(new ConfigRepository(keyValueStore(), codec), () -> {});
+        publisher.publish(publisher.read(), codec.entries(set), "deployment");
     }
 
     private void awaitReady() throws InterruptedException {
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlatformStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlatformStandIn.java
@@ -1,6 +1,7 @@
 package io.laburnummoor.bench.process;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,16 +15,18 @@
 import com.sun.net.httpserver.HttpExchange;
 import io.laburnummoor.core.connection.RouterPeer;
 import io.laburnummoor.core.connection.Upstream;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A stand-in for the platform: the key-value service by the etcd v3 JSON gateway (range, transactions with one
- * comparison of a modification revision, leases) and the list of VMs. It can be down and can lose answers after the
+ * comparison of a modification revision, leases, watches of one key) and the list of VMs. It can be down or slow and can lose answers after the
  * write.
  */
 public final class PlatformStandIn extends HttpStandIn {
     private static final int STATUS_OK = 200;
     private static final int STATUS_UNAVAILABLE = 503;
     private static final long MILLIS_PER_SECOND = 1_000;
+    private static final long PROGRESS_INTERVAL_MILLIS = 1_000;
 
     private final Map<String, Record> records = new HashMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
@@ -33,6 +36,7 @@
     private final AtomicLong readCount = new AtomicLong();
     private final AtomicLong writeCount = new AtomicLong();
     private volatile boolean down;
+    private volatile long delayMillis;
     private long revision = 1;
     private long nextLeaseId = 1;
 
@@ -43,6 +47,7 @@
         route("/v3/kv/txn", exchange -> answer(exchange, this::transact, writeCount));
         route("/v3/lease/grant", exchange -> answer(exchange, this::grantLease, writeCount));
         route("/v3/lease/keepalive", exchange -> answer(exchange, this::keepLeaseAlive, writeCount));
+        route("/v3/watch", this::watch);
         route("/vms", this::handleVms);
     }
 
@@ -51,6 +56,11 @@
         down = isDown;
     }
 
+    /** Delays each answer of the key-value service by the given time. */
+    public void setDelayMillis(long millis) {
+        delayMillis = millis;
+    }
+
     /** Loses the answers to the next writes after they have taken effect. */
     public void loseAnswers(int count) {
         answersToLose.set(count);
@@ -80,6 +90,7 @@
 
     private void answer(HttpExchange exchange, Operation operation, AtomicLong counter) throws IOException {
         JsonNode request = readJson(exchange);
+        delay();
         if (down) {
             writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("error", "unavailable"));
             return;
@@ -120,10 +131,80 @@
             revision++;
             put(operation.path("request_put"));
             records.remove(operation.path("request_delete_range").path("key").asText());
+            notifyAll();
         }
         return header().put("succeeded", succeeded);
     }
 
+    /**
+     * A watch: a stream of JSON documents that starts with a confirmation and goes on with events from the asked
+     * revision onwards and signs of progress. Of several changes of the key the stand-in reports the last one only.
+     */
+    private void watch(HttpExchange exchange) throws IOException {
+        JsonNode create = readJson(exchange).path("create_request");
+        delay();
+        if (down) {
+            writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("error", "unavailable"));
+            return;
+        }
+        readCount.incrementAndGet();
+        String key = create.path("key").asText();
+        long startRevision = create.path("start_revision").asLong();
+        exchange.getResponseHeaders().set("Content-Type", "application/json");
+        exchange.sendResponseHeaders(STATUS_OK, 0);
+        writeDocument(exchange, header().put("created", true));
+        while (!down) {
+            Record record = awaitChange(key, startRevision);
+            ObjectNode result = header();
+            if (record != null) {
+                startRevision = record.modRevision + 1;
+                result.putArray("events")
+                        .addObject()
+                        .putObject("kv")
+                        .put("key", key)
+                        .put("value", record.value)
+                        .put("mod_revision", Long.toString(record.modRevision));
+                delay();
+            }
+            // A write to a connection that the watcher has closed fails, which ends this loop.
+            writeDocument(exchange, result);
+        }
+    }
+
+    private synchronized @Nullable Record awaitChange(String key, long startRevision) throws IOException {
+        long deadlineMillis = System.currentTimeMillis() + PROGRESS_INTERVAL_MILLIS;
+        while (true) {
+            Record record = records.get(key);
+            if (record != null && record.modRevision >= startRevision) {
+                return record;
+            }
+            long leftMillis = deadlineMillis - System.currentTimeMillis();
+            if (leftMillis <= 0) {
+                return null;
+            }
+            try {
+                wait(leftMillis);
+            } catch (InterruptedException stopped) {
+                throw new IOException("the platform is stopping", stopped);
+            }
+        }
+    }
+
+    private static void writeDocument(HttpExchange exchange, ObjectNode result) throws IOException {
+        ObjectNode document = MAPPER.createObjectNode();
+        document.set("result", result);
+        exchange.getResponseBody().write((document + "\n").getBytes(StandardCharsets.UTF_8));
+        exchange.getResponseBody().flush();
+    }
+
+    private void delay() throws IOException {
+        try {
+            Thread.sleep(delayMillis);
+        } catch (InterruptedException stopped) {
+            throw new IOException("the platform is stopping", stopped);
+        }
+    }
+
     private void put(JsonNode put) {
         if (!put.isMissingNode()) {
             records.put(
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/ErrorCode.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/ErrorCode.java
@@ -48,6 +48,8 @@
     STORE_UNAVAILABLE("store_unavailable", 503),
     /** A file of settings or declarations has faults. */
     INVALID_SETTINGS("invalid_settings", 400),
+    /** A live process cannot read the format of a declaration. */
+    UNREADABLE_FORMAT("unreadable_format", 409),
     /** The deadline of the request passed. */
     DEADLINE_EXCEEDED("deadline_exceeded", 504),
     /** A fault of the system itself. */
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ConfigReplica.java
@@ -0,0 +1,89 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.version.ConfigDelta;
+import io.laburnummoor.core.version.ConfigState;
+import io.laburnummoor.core.version.ConfigUpdate;
+
+/**
+ * One process's copy of the configuration with the newest deltas, which it passes on to its peers. The copy only moves
+ * to higher revisions, by a delta that fits it or by a whole set.
+ */
+public final class ConfigReplica {
+    /** At 33,000 changes a day this covers about 11 minutes; a process that was away for longer gets a whole set. */
+    private static final int MAX_DELTAS = 256;
+    /** Bounds the memory of kept deltas and the size of an answer. */
+    private static final int MAX_DELTA_CHARS = 1_000_000;
+
+    private final Snapshot<Copy> copy = new Snapshot<>(new Copy(ConfigState.EMPTY, List.of()));
+
+    /** Returns the newest state. */
+    public ConfigState state() {
+        return copy.get().state;
+    }
+
+    /** Takes a whole set unless its revision is not higher; returns whether it was taken. */
+    public boolean accept(ConfigState candidate) {
+        Copy before = copy.update(old -> old.withState(candidate));
+        return candidate.revision() > before.state.revision();
+    }
+
+    /**
+     * Takes what a peer answered.
+     *
+     * @return whether the peer's revision is reached; if not, a whole set is needed
+     */
+    public boolean accept(ConfigUpdate update) {
+        if (update.full() != null) {
+            accept(update.full());
+        }
+        update.deltas().forEach(delta -> copy.update(old -> old.withDelta(delta)));
+        return state().revision() >= update.revision();
+    }
+
+    /** Takes one delta; returns whether its revision is reached. */
+    public boolean accept(ConfigDelta delta) {
+        return accept(new ConfigUpdate(delta.revision(), List.of(delta), null));
+    }
+
+    /** Returns what a peer at the given revision needs to reach this copy. */
+    public ConfigUpdate since(long revision) {
+        Copy now = copy.get();
+        long own = now.state.revision();
+        if (revision >= own) {
+            return new ConfigUpdate(own, List.of(), null);
+        }
+        List<ConfigDelta> deltas =
+                now.deltas.stream().filter(delta -> delta.revision() > revision).toList();
+        return deltas.size() == own - revision
+                ? new ConfigUpdate(own, deltas, null)
+                : new ConfigUpdate(own, List.of(), now.state);
+    }
+
+    private static int sizeChars(ConfigDelta delta) {
+        return delta.changed().stream().mapToInt(entry -> entry.text().length()).sum();
+    }
+
+    private record Copy(ConfigState state, List<ConfigDelta> deltas) {
+        Copy withState(ConfigState candidate) {
+            return candidate.revision() > state.revision() ? new Copy(candidate, List.of()) : this;
+        }
+
+        Copy withDelta(ConfigDelta delta) {
+            ConfigState next = state.apply(delta);
+            if (next == null) {
+                return this;
+            }
+            List<ConfigDelta> kept = new ArrayList<>(deltas);
+            kept.add(delta);
+            int total = kept.stream().mapToInt(ConfigReplica::sizeChars).sum();
+            while (kept.size() > MAX_DELTAS || total > MAX_DELTA_CHARS) {
+                total -= sizeChars(kept.remove(0));
+            }
+            return new Copy(next, List.copyOf(kept));
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ConfigRepository.java
@@ -0,0 +1,136 @@
+package io.laburnummoor.core.process;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
+import io.laburnummoor.core.version.ConfigDelta;
+import io.laburnummoor.core.version.ConfigState;
+import io.laburnummoor.core.version.ConfigTexts;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The configuration's history in the key-value service.
+ *
+ * <p>The head {@code config/head} holds the newest delta itself, so its compare-and-swap accepts a revision as a whole.
+ * The same text is copied to {@code config/delta/<rev>} before a later revision may replace the head; every 100
+ * revisions the whole set is kept as {@code config/set/<rev>}. Both copies depend on the accepted history alone, so any
+ * process may write them and writing them twice changes nothing.
+ */
+public final class ConfigRepository {
+    /** Key of the newest delta. */
+    public static final String HEAD_KEY = "config/head";
+
+    private static final String DELTA_PREFIX = "config/delta/";
+    private static final String SET_PREFIX = "config/set/";
+    private static final String PART_PREFIX = "config/part/";
+    private static final long SET_INTERVAL = 100;
+
+    private final KeyValueStore store;
+    private final ConfigTexts texts;
+    private final LargeValues largeValues;
+
+    /** Creates a view of the history in a store. */
+    public ConfigRepository(KeyValueStore store, ConfigTexts texts) {
+        this.store = store;
+        this.texts = texts;
+        this.largeValues = new LargeValues(store);
+    }
+
+    /** Returns the head, or null before the first revision. */
+    public @Nullable Head head() {
+        VersionedValue value = store.get(HEAD_KEY);
+        return value == null ? null : head(value);
+    }
+
+    /** Waits until the head has another version than the known one; returns null if the timeout passed. */
+    public @Nullable Head watchHead(long knownVersion, long timeoutMillis) {
+        VersionedValue value = store.watch(HEAD_KEY, knownVersion, timeoutMillis);
+        return value == null ? null : head(value);
+    }
+
+    /** Returns the delta that led to a revision below the head's. */
+    public ConfigDelta delta(long revision) {
+        VersionedValue value = store.get(DELTA_PREFIX + revision);
+        if (value == null) {
+            throw new LaburnummoorException(ErrorCode.INTERNAL, "delta of revision " + revision + " does not exist");
+        }
+        return texts.decodeDelta(largeValues.load(value.value()));
+    }
+
+    /** Returns the state at the head, read from the given older state onwards or, if that is far, from a whole set. */
+    public ConfigState load(Head head, ConfigState known) {
+        ConfigState state = known;
+        long headRevision = head.delta().revision();
+        if (headRevision - known.revision() > SET_INTERVAL) {
+            state = nearestSet(headRevision, known);
+        }
+        while (state.revision() < headRevision) {
+            long next = state.revision() + 1;
+            ConfigState following = state.apply(next == headRevision ? head.delta() : delta(next));
+            if (following == null) {
+                throw new LaburnummoorException(
+                        ErrorCode.INTERNAL, "delta of revision " + next + " does not fit the set before it");
+            }
+            state = following;
+        }
+        return state;
+    }
+
+    /**
+     * Replaces the head by a delta that follows it.
+     *
+     * @param before head that the delta follows, or null for the first revision
+     * @return whether the head was still the one before; if the call fails, ask {@link #isAccepted}
+     */
+    boolean replaceHead(@Nullable Head before, ConfigState stateBefore, ConfigDelta delta) {
+        if (before != null) {
+            store.compareAndSwap(DELTA_PREFIX + before.delta().revision(), KeyValueStore.ABSENT, before.storedText());
+            storeSet(stateBefore);
+        }
+        String text = largeValues.store(PART_PREFIX + delta.operationId(), texts.encodeDelta(delta));
+        long expectedVersion = before == null ? KeyValueStore.ABSENT : before.version();
+        return store.compareAndSwap(HEAD_KEY, expectedVersion, text) != KeyValueStore.ABSENT;
+    }
+
+    /** Returns whether the history holds the given delta. */
+    boolean isAccepted(ConfigDelta delta) {
+        Head head = head();
+        if (head == null || head.delta().revision() < delta.revision()) {
+            return false;
+        }
+        ConfigDelta accepted = head.delta().revision() == delta.revision() ? head.delta() : delta(delta.revision());
+        return accepted.operationId().equals(delta.operationId());
+    }
+
+    private void storeSet(ConfigState state) {
+        long revision = state.revision();
+        if (revision % SET_INTERVAL == 0 && store.get(SET_PREFIX + revision) == null) {
+            String text = largeValues.store(SET_PREFIX + revision + "/part", texts.encodeState(state));
+            store.compareAndSwap(SET_PREFIX + revision, KeyValueStore.ABSENT, text);
+        }
+    }
+
+    private ConfigState nearestSet(long headRevision, ConfigState known) {
+        long first = (headRevision - 1) / SET_INTERVAL * SET_INTERVAL;
+        for (long revision = first; revision > known.revision(); revision -= SET_INTERVAL) {
+            VersionedValue value = store.get(SET_PREFIX + revision);
+            if (value != null) {
+                return texts.decodeState(largeValues.load(value.value()));
+            }
+        }
+        return known;
+    }
+
+    private Head head(VersionedValue value) {
+        return new Head(value.version(), value.value(), texts.decodeDelta(largeValues.load(value.value())));
+    }
+
+    /**
+     * The head as read.
+     *
+     * @param version version of the key
+     * @param storedText value of the key
+     * @param delta newest delta
+     */
+    public record Head(long version, String storedText, ConfigDelta delta) {}
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ConfigSources.java
@@ -0,0 +1,68 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import io.laburnummoor.core.connection.RouterPeer;
+import org.jspecify.annotations.Nullable;
+
+/** Decides which routers watch the key-value service and whom each router asks for newer revisions. */
+public final class ConfigSources {
+    /** Two per failure domain, so that the loss of one does not delay the domain. */
+    private static final int WATCHERS_PER_DOMAIN = 2;
+    /** Of every four questions one goes anywhere, so that a domain whose watchers are stuck still catches up. */
+    private static final int QUESTIONS_PER_ROUND = 4;
+
+    private final String ownName;
+    private final String ownDomain;
+    private final RandomGenerator random;
+
+    /** Creates the decisions of one router. */
+    public ConfigSources(String ownName, String ownDomain, RandomGenerator random) {
+        this.ownName = ownName;
+        this.ownDomain = ownDomain;
+        this.random = random;
+    }
+
+    /** Returns whether this router watches the key-value service. A router counts itself even if it is not listed. */
+    public boolean isWatcher(List<RouterPeer> listed) {
+        List<String> names = new ArrayList<>(namesIn(ownDomain, listed));
+        if (!names.contains(ownName)) {
+            names.add(ownName);
+        }
+        return watchers(ownDomain, names).contains(ownName);
+    }
+
+    /**
+     * Returns the router to ask next, or null if there is no other.
+     *
+     * <p>A router that does not watch asks a watcher of its failure domain, and now and then any router; a watcher asks
+     * any router, which covers the case that only its own path to the key-value service is cut.
+     */
+    public @Nullable RouterPeer next(List<RouterPeer> listed) {
+        List<RouterPeer> others =
+                listed.stream().filter(peer -> !peer.name().equals(ownName)).toList();
+        if (others.isEmpty()) {
+            return null;
+        }
+        List<String> watchers = watchers(ownDomain, namesIn(ownDomain, listed));
+        List<RouterPeer> near =
+                others.stream().filter(peer -> watchers.contains(peer.name())).toList();
+        boolean asksNear = !isWatcher(listed) && !near.isEmpty() && random.nextInt(QUESTIONS_PER_ROUND) > 0;
+        List<RouterPeer> candidates = asksNear ? near : others;
+        return candidates.get(random.nextInt(candidates.size()));
+    }
+
+    private static List<String> namesIn(String domain, List<RouterPeer> listed) {
+        return listed.stream()
+                .filter(peer -> peer.failureDomain().equals(domain))
+                .map(RouterPeer::name)
+                .toList();
+    }
+
+    private static List<String> watchers(String domain, List<String> names) {
+        List<String> ranked = RendezvousHash.rank("config-watch/" + domain, names, name -> name);
+        return ranked.subList(0, Math.min(WATCHERS_PER_DOMAIN, ranked.size()));
+    }
+}
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ApplyCommand.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ApplyCommand.java
@@ -2,46 +2,52 @@
 
 import java.net.URI;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
-import io.laburnummoor.core.ErrorCode;
-import io.laburnummoor.core.LaburnummoorException;
-import io.laburnummoor.core.process.KeyValueStore;
-import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
-import io.laburnummoor.core.version.ConfigSet;
-import io.laburnummoor.router.version.ConfigFollower;
-import io.laburnummoor.wire.process.EtcdKeyValueStore;
-import io.laburnummoor.wire.process.JsonHttp;
-import io.laburnummoor.wire.version.ConfigCodec;
-import io.laburnummoor.wire.version.DeclarationReader;
-
-/** Puts a file of declarations in force. */
-@Parameters(commandDescription = "Put a file of declarations in force")
+import com.beust.jcommander.ParametersDelegate;
+import io.laburnummoor.core.process.ProcessStatus;
+import io.laburnummoor.router.version.ConfigOperations;
+
+/** Puts files of declarations in force as one revision. */
+@Parameters(commandDescription = "Put files of declarations in force as one revision")
 final class ApplyCommand implements Command {
-    private static final int TIMEOUT_MILLIS = 5_000;
+    @ParametersDelegate
+    private StoreParameters store = new StoreParameters();
+
+    @Parameter(names = "--declarations", required = true, description = "TOML file of declarations, may be repeated")
+    private List<String> files = new ArrayList<>();
+
+    @Parameter(names = "--merge", description = "keep declarations in force that no file names")
+    private boolean merge;
 
-    @Parameter(names = "--key-value-address", required = true, description = "address of the key-value service")
-    private String keyValueAddress = "";
+    @Parameter(names = "--expect-revision", description = "fail with a conflict if another revision is in force")
+    private long expectedRevision = -1;
 
-    @Parameter(names = "--declarations", required = true, description = "TOML file of declarations")
-    private String declarationsFile = "";
+    @Parameter(names = "--operation-id", description = "id of this operation, to repeat it after an unknown outcome")
+    private String operationId = UUID.randomUUID().toString();
+
+    @Parameter(names = "--vm-list-address", description = "address of the VM list; needed to bring in a new format")
+    private String vmListAddress = "";
 
     @Override
     public void run() {
-        JsonHttp http = new JsonHttp(TIMEOUT_MILLIS);
-        KeyValueStore store = new EtcdKeyValueStore(http, URI.create(keyValueAddress));
-        ConfigCodec codec = new ConfigCodec();
-        VersionedValue before = store.get(ConfigFollower.CONFIG_KEY);
-        long revision = before == null ? 1 : codec.decode(before.value()).revision() + 1;
-        ConfigSet next = DeclarationReader.read(Path.of(declarationsFile), revision);
-        long expectedVersion = before == null ? KeyValueStore.ABSENT : before.version();
-        if (store.compareAndSwap(ConfigFollower.CONFIG_KEY, expectedVersion, codec.encode(next))
-                == KeyValueStore.ABSENT) {
-            throw new LaburnummoorException(
-                    ErrorCode.CONFLICT, "another operator has changed the configuration meanwhile");
+        ConfigOperations.Request request = new ConfigOperations.Request(
+                files.stream().map(Path::of).toList(), merge, expectedRevision, operationId);
+        new ConfigOperations(System.out).apply(store.publisher(), request, this::askProcesses);
+        store.http().stop();
+    }
+
+    private List<ProcessStatus> askProcesses() {
+        if (vmListAddress.isEmpty()) {
+            throw new ParameterException(
+                    "--vm-list-address is needed: the declarations bring in a format that is not in force yet");
         }
-        System.out.println("revision " + revision + " applied");
-        http.stop();
+        LiveProcesses processes = new LiveProcesses(store.http(), URI.create(vmListAddress));
+        return LiveProcesses.ask(processes.list().routers());
     }
 }
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/LiveProcesses.java
@@ -0,0 +1,80 @@
+package io.laburnummoor.router.process;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.connection.RouterPeer;
+import io.laburnummoor.core.process.ProcessStatus;
+import io.laburnummoor.router.connection.ConfigHandler;
+import io.laburnummoor.wire.connection.ThriftConnection;
+import io.laburnummoor.wire.generated.ConfigService;
+import io.laburnummoor.wire.generated.ConfigStatus;
+import io.laburnummoor.wire.process.JsonHttp;
+import io.laburnummoor.wire.process.VmList;
+import io.laburnummoor.wire.process.VmListClient;
+
+/** Asks all routers on the VM list for their state, for the operators' commands. */
+final class LiveProcesses {
+    private static final int TIMEOUT_MILLIS = 1_000;
+    private static final int THREADS = 32;
+
+    private final VmListClient vmList;
+
+    LiveProcesses(JsonHttp http, URI vmListAddress) {
+        this.vmList = new VmListClient(http, vmListAddress);
+    }
+
+    /** Returns the VM list. */
+    VmList list() {
+        try {
+            return vmList.read();
+        } catch (IOException cause) {
+            throw new LaburnummoorException(
+                    ErrorCode.PEER_UNREACHABLE, "VM list cannot be read: " + cause.getMessage(), cause);
+        }
+    }
+
+    /** Asks the routers of a list; those that do not answer are reported as unreachable. */
+    static List<ProcessStatus> ask(List<RouterPeer> routers) {
+        ExecutorService executor = Executors.newFixedThreadPool(THREADS);
+        try {
+            List<Future<ProcessStatus>> answers = routers.stream()
+                    .map(router -> executor.submit(() -> ask(router)))
+                    .toList();
+            return answers.stream().map(LiveProcesses::get).toList();
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
+    private static ProcessStatus ask(RouterPeer router) {
+        try (ThriftConnection<ConfigService.Client> connection = new ThriftConnection<>(
+                router.host(),
+                router.peerPort(),
+                TIMEOUT_MILLIS,
+                ConfigHandler.SERVICE_NAME,
+                ConfigService.Client::new)) {
+            ConfigStatus status = connection.call(ConfigService.Client::status);
+            return new ProcessStatus(
+                    router, true, status.getRevision(), status.getDigest(), Set.copyOf(status.getSchemaVersions()));
+        } catch (LaburnummoorException unreachable) {
+            return ProcessStatus.unreachable(router);
+        }
+    }
+
+    private static ProcessStatus get(Future<ProcessStatus> answer) {
+        try {
+            return answer.get();
+        } catch (InterruptedException | ExecutionException cause) {
+            throw new LaburnummoorException(ErrorCode.INTERNAL, "asking a router failed: " + cause, cause);
+        }
+    }
+}
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMain.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMain.java
@@ -5,6 +5,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import io.laburnummoor.core.ErrorCode;
 import io.laburnummoor.core.LaburnummoorException;
 import io.laburnummoor.wire.process.Logging;
 
@@ -12,6 +13,10 @@
 public final class RouterMain {
     private static final int EXIT_FAILURE = 1;
     private static final int EXIT_USAGE = 2;
+    private static final int EXIT_CONFLICT = 3;
+    private static final int EXIT_UNREADABLE_FORMAT = 4;
+    private static final int EXIT_UNAVAILABLE = 5;
+    private static final int EXIT_OUTCOME_UNKNOWN = 6;
 
     private RouterMain() {}
 
@@ -20,7 +25,10 @@
         Logging.configure("WARN");
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("serve", new ServeCommand());
+        commands.put("check", new CheckCommand());
+        commands.put("diff", new DiffCommand());
         commands.put("apply", new ApplyCommand());
+        commands.put("status", new StatusCommand());
         JCommander.Builder builder = JCommander.newBuilder().programName("laburnummoor-router");
         commands.forEach(builder::addCommand);
         JCommander parser = builder.build();
@@ -38,7 +46,17 @@
             System.exit(EXIT_USAGE);
         } catch (LaburnummoorException failure) {
             System.err.println(failure.errorCode().code() + ": " + failure.getMessage());
-            System.exit(EXIT_FAILURE);
+            System.exit(exitStatus(failure.errorCode()));
         }
     }
+
+    private static int exitStatus(ErrorCode code) {
+        return switch (code) {
+            case CONFLICT -> EXIT_CONFLICT;
+            case UNREADABLE_FORMAT -> EXIT_UNREADABLE_FORMAT;
+            case STORE_UNAVAILABLE -> EXIT_UNAVAILABLE;
+            case OUTCOME_UNKNOWN -> EXIT_OUTCOME_UNKNOWN;
+            default -> EXIT_FAILURE;
+        };
+    }
 }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -13,19 +13,25 @@
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.ConfigHolder;
+import io.laburnummoor.core.process.ConfigReplica;
+import io.laburnummoor.core.process.ConfigRepository;
 import io.laburnummoor.core.process.KeyValueStore;
 import io.laburnummoor.core.process.RouterPeers;
 import io.laburnummoor.core.process.RoutingTable;
 import io.laburnummoor.core.process.UpstreamSelector;
 import io.laburnummoor.core.version.TokenPace;
+import io.laburnummoor.router.connection.ConfigHandler;
+import io.laburnummoor.router.connection.ConfigPeers;
 import io.laburnummoor.router.connection.JournalPeers;
 import io.laburnummoor.router.request.GenerationContext;
 import io.laburnummoor.router.version.ConfigFollower;
+import io.laburnummoor.wire.generated.ConfigService;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JsonHttp;
 import io.laburnummoor.wire.process.ThriftServer;
 import io.laburnummoor.wire.process.VmListClient;
 import io.laburnummoor.wire.request.HttpEngineClient;
+import io.laburnummoor.wire.version.ConfigCodec;
 import org.apache.thrift.TProcessor;
 
 /** Wires the objects of a router. */
@@ -46,6 +52,7 @@
         bind(RouterSettings.class).toInstance(settings);
         bind(Clock.class).toInstance(Clock.monotonic());
         bind(ConfigHolder.class).toInstance(new ConfigHolder());
+        bind(ConfigReplica.class).toInstance(new ConfigReplica());
         bind(RoutingTable.class).toInstance(new RoutingTable());
         bind(RouterPeers.class).toInstance(new RouterPeers());
         bind(RouterMetrics.class).toInstance(new RouterMetrics());
@@ -110,8 +117,12 @@
     /** The services that other routers call, by name. */
     @Provides
     @Singleton
-    ThriftServer peerServer() {
+    ThriftServer peerServer(ConfigReplica replica, ConfigHolder config) {
         Map<String, TProcessor> processors = new LinkedHashMap<>();
+        processors.put(
+                ConfigHandler.SERVICE_NAME,
+                new ConfigService.Processor<>(
+                        new ConfigHandler(settings.name(), settings.failureDomain(), replica, config)));
         return new ThriftServer(settings.host(), settings.peerPort(), PEER_WORKER_THREADS, processors);
     }
 
@@ -124,8 +135,15 @@
 
     @Provides
     @Singleton
-    ConfigFollower configFollower(KeyValueStore store, ConfigHolder config) {
-        return new ConfigFollower(store, config);
+    ConfigFollower configFollower(KeyValueStore store, ConfigReplica replica, ConfigHolder config, RouterPeers peers) {
+        return new ConfigFollower(
+                settings.name(),
+                settings.failureDomain(),
+                new ConfigRepository(store, new ConfigCodec()),
+                replica,
+                config,
+                peers,
+                new ConfigPeers());
     }
 
     /** The services of a router in the order of their start. */
@@ -134,8 +152,8 @@
     List<Service> services(Injector injector) {
         List<Class<? extends Service>> order = List.of(
                 JsonHttp.class,
-                ConfigFollower.class,
                 Membership.class,
+                ConfigFollower.class,
                 HttpEngineClient.class,
                 JournalPeers.class,
                 ThriftServer.class,
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/version/ConfigFollower.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/version/ConfigFollower.java
@@ -1,54 +1,179 @@
 package io.laburnummoor.router.version;
 
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
 import io.laburnummoor.core.LaburnummoorException;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.connection.RouterPeer;
+import io.laburnummoor.core.process.ConfigBootstrap;
 import io.laburnummoor.core.process.ConfigHolder;
-import io.laburnummoor.core.process.KeyValueStore;
-import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
+import io.laburnummoor.core.process.ConfigPeerClient;
+import io.laburnummoor.core.process.ConfigReplica;
+import io.laburnummoor.core.process.ConfigRepository;
+import io.laburnummoor.core.process.ConfigRepository.Head;
+import io.laburnummoor.core.process.ConfigSources;
+import io.laburnummoor.core.process.RendezvousHash;
+import io.laburnummoor.core.process.RouterPeers;
+import io.laburnummoor.core.version.ConfigUpdate;
 import io.laburnummoor.wire.process.PeriodicTask;
-import io.laburnummoor.wire.version.ConfigCodec;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 
-/** Keeps the configuration in force up to date with the key-value service. */
+/**
+ * Keeps the configuration of a router up to date: it asks a peer every second and, if this router is one of the
+ * watchers of its failure domain, watches the head in the key-value service.
+ */
 public final class ConfigFollower implements Service {
-    /** Key of the configuration set. */
-    public static final String CONFIG_KEY = "config/set";
-
     private static final Logger LOGGER = Logger.getLogger(ConfigFollower.class);
-    private static final long POLL_INTERVAL_MILLIS = 1_000;
+    private static final long PULL_INTERVAL_MILLIS = 1_000;
+    private static final long RETRY_DELAY_MILLIS = 1_000;
+    /** A watch whose peer vanished without closing the connection delays the domain by at most this time. */
+    private static final long WATCH_TIMEOUT_MILLIS = 5_000;
+    /** A starting router asks several peers in a round, to hear from two failure domains soon. */
+    private static final int BOOTSTRAP_QUESTIONS = 4;
 
-    private final KeyValueStore store;
+    private final ConfigRepository repository;
+    private final ConfigReplica replica;
     private final ConfigHolder holder;
-    private final ConfigCodec codec = new ConfigCodec();
-    private final PeriodicTask task = new PeriodicTask("config", POLL_INTERVAL_MILLIS, this::refresh);
+    private final RouterPeers peers;
+    private final ConfigPeerClient client;
+    private final ConfigSources pullSources;
+    private final ConfigSources watchSources;
+    private final ConfigBootstrap bootstrap;
+    private final PeriodicTask pullTask = new PeriodicTask("config-pull", PULL_INTERVAL_MILLIS, this::pull);
+    private final Thread watchThread = new Thread(this::watch, "config-watch");
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private volatile boolean bootstrapped;
+    private volatile long watchedRevision;
 
-    /** Creates a follower that puts new sets into the holder. */
-    public ConfigFollower(KeyValueStore store, ConfigHolder holder) {
-        this.store = store;
+    /** Creates the follower of one router that puts new sets into the holder. */
+    public ConfigFollower(
+            String routerName,
+            String failureDomain,
+            ConfigRepository repository,
+            ConfigReplica replica,
+            ConfigHolder holder,
+            RouterPeers peers,
+            ConfigPeerClient client) {
+        this.repository = repository;
+        this.replica = replica;
         this.holder = holder;
+        this.peers = peers;
+        this.client = client;
+        SplittableRandom random = new SplittableRandom(RendezvousHash.hash(routerName));
+        this.pullSources = new ConfigSources(routerName, failureDomain, random.split());
+        this.watchSources = new ConfigSources(routerName, failureDomain, random.split());
+        this.bootstrap = new ConfigBootstrap(routerName);
+        watchThread.setDaemon(true);
     }
 
     @Override
     public void start() {
-        refresh();
-        task.start();
+        pull();
+        pullTask.start();
+        watchThread.start();
     }
 
     @Override
     public void stop() {
-        task.stop();
+        stopped.countDown();
+        pullTask.stop();
+        watchThread.interrupt();
+    }
+
+    private void pull() {
+        if (bootstrapped) {
+            ask(pullSources.next(peers.all()));
+            install();
+        } else {
+            bootstrapRound();
+        }
     }
 
-    private void refresh() {
+    private void bootstrapRound() {
+        List<RouterPeer> listed = peers.all();
+        bootstrap.onRound();
+        bootstrap.onHead(watchedRevision);
+        for (int i = 0; i < BOOTSTRAP_QUESTIONS; i++) {
+            ask(pullSources.next(listed));
+        }
         try {
-            VersionedValue value = store.get(CONFIG_KEY);
-            if (value != null && holder.accept(codec.decode(value.value()))) {
-                LOGGER.infof(
-                        "configuration revision %d is in force",
-                        holder.current().revision());
+            Head head = repository.head();
+            bootstrap.onHead(head == null ? 0 : head.delta().revision());
+            if (head != null
+                    && bootstrap.mustLoadDirectly(
+                            pullSources.isWatcher(listed), replica.state().revision())) {
+                replica.accept(repository.load(head, replica.state()));
+            }
+        } catch (LaburnummoorException failure) {
+            LOGGER.warnf("configuration cannot be read from the key-value service: %s", failure.getMessage());
+        }
+        if (bootstrap.mayUse(replica.state().revision(), listed)) {
+            bootstrapped = true;
+            install();
+        }
+    }
+
+    private void ask(@Nullable RouterPeer peer) {
+        if (peer == null) {
+            return;
+        }
+        try {
+            ConfigUpdate update = client.since(peer, replica.state().revision());
+            if (!replica.accept(update)) {
+                replica.accept(client.since(peer, 0));
+            }
+            if (!bootstrapped) {
+                bootstrap.onPeer(peer, update.revision());
             }
         } catch (LaburnummoorException failure) {
-            LOGGER.warnf("configuration cannot be read, the last one stays in force: %s", failure.getMessage());
+            LOGGER.debugf("router %s gave no configuration: %s", peer.name(), failure.getMessage());
+        }
+    }
+
+    private void watch() {
+        long knownVersion = 0;
+        while (stopped.getCount() > 0) {
+            try {
+                if (watchSources.isWatcher(peers.all())) {
+                    Head head = repository.watchHead(knownVersion, WATCH_TIMEOUT_MILLIS);
+                    knownVersion = head == null ? knownVersion : take(head);
+                    continue;
+                }
+            } catch (LaburnummoorException failure) {
+                LOGGER.warnf("configuration cannot be watched, the last one stays in force: %s", failure.getMessage());
+            }
+            pause();
+        }
+    }
+
+    private long take(Head head) {
+        if (!replica.accept(head.delta())) {
+            replica.accept(repository.load(head, replica.state()));
+        }
+        watchedRevision = head.delta().revision();
+        if (bootstrapped) {
+            install();
+        }
+        return head.version();
+    }
+
+    private void install() {
+        if (holder.accept(replica.state().set())) {
+            LOGGER.infof(
+                    "configuration revision %d is in force", holder.current().revision());
+        }
+    }
+
+    private void pause() {
+        try {
+            stopped.await(RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            stopped.countDown();
         }
     }
 }
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/EtcdKeyValueStore.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/EtcdKeyValueStore.java
@@ -4,6 +4,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -16,8 +17,8 @@
 /**
  * The platform's key-value service by the JSON gateway of the etcd v3 interface.
  *
- * <p>A key's version is its {@code mod_revision}. A watch is made by reading again after a wait on the server's side of
- * at most the timeout; stand-ins and gateways without that wait answer at once.
+ * <p>A key's version is its {@code mod_revision}. A watch is a streaming request that ends with the first
+ * event or at the timeout.
  */
 public final class EtcdKeyValueStore implements KeyValueStore {
     private final JsonHttp http;
@@ -79,10 +80,40 @@
         create.putObject("create_request")
                 .put("key", encode(key))
                 .put("start_revision", Long.toString(knownVersion + 1))
-                .put("progress_timeout_millis", Long.toString(timeoutMillis));
-        post("/v3/watch", create);
-        VersionedValue value = get(key);
-        return value == null || value.version() == knownVersion ? null : value;
+                .put("progress_notify", true);
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        WatchEnd end;
+        try {
+            end = http.postStreaming(baseAddress.resolve("/v3/watch"), create, (int) timeoutMillis, document -> {
+                WatchEnd found = readWatch(document.path("result"));
+                return found == null && System.nanoTime() >= deadlineNanos ? WatchEnd.UNCHANGED : found;
+            });
+        } catch (IOException cause) {
+            throw unavailable(cause);
+        }
+        if (end != null && end.mustRead) {
+            VersionedValue value = get(key);
+            return value == null || value.version() == knownVersion ? null : value;
+        }
+        return end == null ? null : end.value;
+    }
+
+    /** Returns null for a message without an event: the confirmation of the watch or a sign of progress. */
+    private static @Nullable WatchEnd readWatch(JsonNode result) {
+        JsonNode events = result.path("events");
+        if (!events.isEmpty()) {
+            JsonNode last = events.get(events.size() - 1);
+            JsonNode pair = last.path("kv");
+            return last.path("type").asText().equals("DELETE")
+                    ? WatchEnd.UNCHANGED
+                    : new WatchEnd(
+                            new VersionedValue(
+                                    decode(pair.path("value").asText()),
+                                    pair.path("mod_revision").asLong()),
+                            false);
+        }
+        // The service cancels a watch whose first revision it has compacted away; the value is then read directly.
+        return result.path("canceled").asBoolean() ? new WatchEnd(null, true) : null;
     }
 
     private JsonNode transaction(String key, long expectedVersion, String operation, ObjectNode operand) {
@@ -101,11 +132,15 @@
         try {
             return http.post(baseAddress.resolve(path), body);
         } catch (IOException cause) {
-            throw new LaburnummoorException(
-                    ErrorCode.STORE_UNAVAILABLE, "key-value service did not answer: " + cause.getMessage(), cause);
+            throw unavailable(cause);
         }
     }
 
+    private static LaburnummoorException unavailable(IOException cause) {
+        return new LaburnummoorException(
+                ErrorCode.STORE_UNAVAILABLE, "key-value service did not answer: " + cause.getMessage(), cause);
+    }
+
     private static String encode(String text) {
         return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
     }
@@ -113,4 +148,8 @@
     private static String decode(String base64) {
         return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
     }
+
+    private record WatchEnd(@Nullable VersionedValue value, boolean mustRead) {
+        static final WatchEnd UNCHANGED = new WatchEnd(null, false);
+    }
 }
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -1,10 +1,12 @@
 package io.laburnummoor.wire.process;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MappingIterator;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.laburnummoor.core.Service;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
@@ -15,11 +17,13 @@
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.io.CloseMode;
+import org.jspecify.annotations.Nullable;
 
 /** Blocking HTTP calls with JSON bodies, used towards the platform and the upstream's health page. */
 public final class JsonHttp implements Service {
@@ -61,6 +65,49 @@
         return execute(request);
     }
 
+    /**
+     * Sends a JSON document and reads the documents of the answer as they arrive.
+     *
+     * @param silenceMillis longest time between two documents
+     * @param reader returns a result to end the exchange, or null to wait for the next document
+     * @return the result, or null if the answer ended or no document arrived in time after the first one
+     */
+    public <T> @Nullable T postStreaming(URI address, JsonNode body, int silenceMillis, DocumentReader<T> reader)
+            throws IOException {
+        HttpPost request = new HttpPost(address);
+        request.setEntity(new StringEntity(body.toString(), ContentType.APPLICATION_JSON));
+        request.setConfig(RequestConfig.custom()
+                .setConnectionRequestTimeout(silenceMillis, TimeUnit.MILLISECONDS)
+                .setResponseTimeout(silenceMillis, TimeUnit.MILLISECONDS)
+                .build());
+        boolean anyRead = false;
+        ClassicHttpResponse response = client.executeOpen(null, request, null);
+        try {
+            if (response.getCode() != HttpStatus.SC_OK) {
+                throw new IOException("status " + response.getCode() + " from " + request.getRequestUri());
+            }
+            MappingIterator<JsonNode> documents = mapper.readerFor(JsonNode.class)
+                    .readValues(response.getEntity().getContent());
+            while (documents.hasNextValue()) {
+                T result = reader.read(documents.nextValue());
+                anyRead = true;
+                if (result != null) {
+                    return result;
+                }
+            }
+            return null;
+        } catch (SocketTimeoutException silence) {
+            if (anyRead) {
+                return null;
+            }
+            throw silence;
+        } finally {
+            // Closing the answer alone would read on to its end, which never comes.
+            request.abort();
+            response.close();
+        }
+    }
+
     @Override
     public void start() {}
 
@@ -78,4 +125,15 @@
             return mapper.readTree(text);
         });
     }
+
+    /**
+     * Reads one document of a streamed answer.
+     *
+     * @param <T> result
+     */
+    public interface DocumentReader<T> {
+        /** Returns a result to end the exchange, or null to wait for the next document. */
+        @Nullable
+        T read(JsonNode document) throws IOException;
+    }
 }
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/Settings.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/Settings.java
@@ -65,6 +65,11 @@
         }
     }
 
+    /** Returns a view of a table that was read elsewhere; the messages name its fields with the given prefix. */
+    public static Settings table(String source, JsonNode table, String keyPrefix) {
+        return new Settings(source, table, keyPrefix, new ArrayList<>());
+    }
+
     /** Returns a required non-empty text. */
     public String text(String key) {
         return text(key, value -> !value.isBlank(), "must be a non-empty text");
@@ -98,6 +103,32 @@
         return find(key).isMissingNode() ? defaultValue : integer(key, min, max);
     }
 
+    /** Returns a required number within bounds. */
+    public double number(String key, double min, double max) {
+        JsonNode node = find(key);
+        if (!node.isNumber() || !(node.doubleValue() >= min) || !(node.doubleValue() <= max)) {
+            return fault(key, "must be a number from " + min + " to " + max, min);
+        }
+        return node.doubleValue();
+    }
+
+    /** Returns a required truth value. */
+    public boolean flag(String key) {
+        JsonNode node = find(key);
+        return node.isBoolean() ? node.booleanValue() : fault(key, "must be true or false", false);
+    }
+
+    /** Returns a required table; its faults are reported together with these. */
+    public Settings table(String key) {
+        JsonNode node = find(key);
+        if (!node.isObject()) {
+            addFault(key, "must be a table");
+        }
+        Settings found = new Settings(source, node, keyPrefix + key + ".", faults);
+        tables.add(found);
+        return found;
+    }
+
     /** Returns an optional list of texts. */
     public List<String> texts(String key) {
         List<String> texts = new ArrayList<>();
@@ -143,13 +174,25 @@
         }
     }
 
-    private void addUnknownKeys() {
+    /** Returns the faults found up to now. */
+    public List<String> faults() {
+        return List.copyOf(faults);
+    }
+
+    /** Returns the keys that were present but not asked for. */
+    public List<String> unknownKeys() {
+        List<String> unknown = new ArrayList<>();
         root.fieldNames().forEachRemaining(key -> {
             if (!knownKeys.contains(key)) {
-                addFault(key, "unknown key");
+                unknown.add(keyPrefix + key);
             }
         });
-        tables.forEach(Settings::addUnknownKeys);
+        tables.forEach(table -> unknown.addAll(table.unknownKeys()));
+        return unknown;
+    }
+
+    private void addUnknownKeys() {
+        unknownKeys().forEach(key -> faults.add(key + ": unknown key"));
     }
 
     private JsonNode find(String key) {
