--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -13,7 +13,11 @@
 final class ScenarioCommand implements BenchCommand {
     private static final int EXIT_USAGE = 2;
 
-    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of("resume", new ResumeScenario()));
+    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of(
+            "config-propagation", new ConfigPropagationScenario(),
+            "kv-outage", new KvOutageScenario(),
+            "racing-operators", new RacingOperatorsScenario(),
+            "resume", new ResumeScenario()));
 
     @Parameter(description = "name of the scenario", required = true)
     private List<String> names = new ArrayList<>();
