--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -13,8 +13,12 @@
 final class ScenarioCommand implements BenchCommand {
     private static final int EXIT_USAGE = 2;
 
-    private static final Map<String, Scenario> SCENARIOS =
-            new TreeMap<>(Map.of("resume", new ResumeScenario(), "capacity", new CapacityScenario()));
+    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.ofEntries(
+            Map.entry("capacity", new CapacityScenario()),
+            Map.entry("config-propagation", new ConfigPropagationScenario()),
+            Map.entry("kv-outage", new KvOutageScenario()),
+            Map.entry("racing-operators", new RacingOperatorsScenario()),
+            Map.entry("resume", new ResumeScenario())));
 
     @Parameter(description = "name of the scenario", required = true)
     private List<String> names = new ArrayList<>();
