Add the core of the claim log and the claim messages

Cause: non-idempotent calls need a durable claim before they run, and one write per call exceeds the key-value service.

--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLeases.java
@@ -0,0 +1,109 @@
+package io.laburnummoor.core.process;
+
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
+
+/**
+ * Tells which router writes each partition. A lease only keeps routers from competing: two routers that both believe
+ * to hold a partition are kept apart by the compare-and-swap on its segment.
+ *
+ * <p>One lease covers all partitions of a router and exists only while it holds one.
+ */
+public final class PartitionLeases {
+    /** Time to live of a lease. */
+    public static final long TIME_TO_LIVE_SECONDS = 6;
+    /** Interval at which a holder renews its lease. */
+    public static final long RENEWAL_INTERVAL_MILLIS = 2_000;
+
+    private static final long TIME_TO_LIVE_MILLIS = TIME_TO_LIVE_SECONDS * 1_000;
+
+    private final KeyValueStore store;
+    private final String routerName;
+    private final Clock clock;
+    private final ConcurrentHashMap<Integer, Long> heldVersions = new ConcurrentHashMap<>();
+    private long leaseId = KeyValueStore.NO_LEASE;
+    private long leaseDeadlineMillis;
+
+    /** Creates the leases of a router; the clock is monotonic. */
+    public PartitionLeases(KeyValueStore store, String routerName, Clock clock) {
+        this.store = store;
+        this.routerName = routerName;
+        this.clock = clock;
+    }
+
+    /**
+     * Takes a partition if it is free or may be taken over.
+     *
+     * @param takeOver whether the asking router could not reach the present holder
+     * @return name of the holder, which is this router if it was free
+     */
+    public synchronized String acquire(int partition, boolean takeOver) {
+        if (heldVersions.containsKey(partition) && clock.nowMillis() < leaseDeadlineMillis) {
+            return routerName;
+        }
+        ensureLease();
+        String key = key(partition);
+        VersionedValue stored = store.get(key);
+        if (stored != null && !stored.value().equals(routerName) && !takeOver) {
+            return stored.value();
+        }
+        long version = store.compareAndSwap(
+                key, stored == null ? KeyValueStore.ABSENT : stored.version(), routerName, leaseId);
+        if (version == KeyValueStore.ABSENT) {
+            VersionedValue winner = store.get(key);
+            return winner == null ? routerName : winner.value();
+        }
+        heldVersions.put(partition, version);
+        return routerName;
+    }
+
+    /** Renews the lease if this router holds a partition; a lapsed lease gives up all partitions. */
+    public synchronized void renew() {
+        if (heldVersions.isEmpty()) {
+            return;
+        }
+        long startedAtMillis = clock.nowMillis();
+        if (store.keepLeaseAlive(leaseId)) {
+            leaseDeadlineMillis = startedAtMillis + TIME_TO_LIVE_MILLIS;
+        } else {
+            heldVersions.clear();
+            leaseId = KeyValueStore.NO_LEASE;
+        }
+    }
+
+    /** Gives up all partitions, so that other routers need not wait for the lease to lapse. */
+    public synchronized void releaseAll() {
+        heldVersions.forEach((partition, version) -> {
+            try {
+                store.delete(key(partition), version);
+            } catch (LaburnummoorException unavailable) {
+                if (unavailable.errorCode() != ErrorCode.STORE_UNAVAILABLE) {
+                    throw unavailable;
+                }
+            }
+        });
+        heldVersions.clear();
+    }
+
+    /** Returns the number of partitions that this router believes to hold. */
+    public int heldCount() {
+        return heldVersions.size();
+    }
+
+    private void ensureLease() {
+        long startedAtMillis = clock.nowMillis();
+        if (leaseId == KeyValueStore.NO_LEASE || startedAtMillis >= leaseDeadlineMillis) {
+            heldVersions.clear();
+            leaseId = store.grantLease(TIME_TO_LIVE_SECONDS);
+            leaseDeadlineMillis = startedAtMillis + TIME_TO_LIVE_MILLIS;
+        }
+    }
+
+    private static String key(int partition) {
+        return "claims/" + partition + "/holder";
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLog.java
@@ -0,0 +1,195 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
+import io.laburnummoor.core.request.ClaimOutcome;
+import io.laburnummoor.core.request.ClaimRecord;
+import io.laburnummoor.core.request.ClaimRules;
+import io.laburnummoor.core.request.ClaimState;
+import io.laburnummoor.core.request.RequestId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The log of claims of one partition, as one holder writes it. Used by one thread at a time.
+ *
+ * <p>Any number of holders may write one partition. Every write is a compare-and-swap on the open segment, or the
+ * creation of the next segment after a sealed one, so a holder whose view is stale cannot write.
+ */
+public final class PartitionLog {
+    private static final int MAX_RACES = 8;
+    private static final int MAX_WRITE_TRIES = 3;
+
+    private final int partition;
+    private final KeyValueStore store;
+    private final SegmentCodec codec;
+    private final ClaimPolicy policy;
+    private final Clock wallClock;
+    private final Supplier<String> operationIds;
+    private @Nullable PartitionView view;
+
+    /**
+     * Creates a log.
+     *
+     * @param operationIds source of ids that no two writes share
+     */
+    public PartitionLog(
+            int partition,
+            KeyValueStore store,
+            SegmentCodec codec,
+            ClaimPolicy policy,
+            Clock wallClock,
+            Supplier<String> operationIds) {
+        this.partition = partition;
+        this.store = store;
+        this.codec = codec;
+        this.policy = policy;
+        this.wallClock = wallClock;
+        this.operationIds = operationIds;
+    }
+
+    /**
+     * Commits commands with one write and returns their outcomes in order. Commands whose fate is not known get
+     * {@link ClaimOutcome.Kind#UNAVAILABLE}; their claimants repeat or release them.
+     */
+    public List<ClaimOutcome> commit(List<ClaimRecord> commands) {
+        try {
+            for (int race = 0; race < MAX_RACES; race++) {
+                PartitionView current = currentView();
+                Batch batch = decide(current, commands);
+                if (batch.appended.isEmpty()) {
+                    return batch.outcomes;
+                }
+                WriteResult result = write(current, batch);
+                if (result == WriteResult.WRITTEN) {
+                    return batch.outcomes;
+                }
+                view = null;
+                if (result == WriteResult.UNKNOWN) {
+                    break;
+                }
+            }
+        } catch (LaburnummoorException unavailable) {
+            view = null;
+            if (unavailable.errorCode() != ErrorCode.STORE_UNAVAILABLE) {
+                throw unavailable;
+            }
+        }
+        return Collections.nCopies(commands.size(), ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE));
+    }
+
+    /** Drops the oldest segment if all its keys have expired; returns whether it did. */
+    public boolean dropOldest() {
+        PartitionView current = currentView();
+        PartitionView.SealedSegment oldest = current.oldestSealed();
+        if (oldest == null || wallClock.nowMillis() < oldest.dropDeadlineMillis()) {
+            return false;
+        }
+        view = null;
+        // The head moves first: a reader that misses the segment then sees that the head has changed.
+        long moved = store.compareAndSwap(
+                PartitionView.headKey(partition), current.headVersion(), Long.toString(oldest.number() + 1));
+        return moved != KeyValueStore.ABSENT
+                && store.delete(PartitionView.segmentKey(partition, oldest.number()), oldest.version());
+    }
+
+    private PartitionView currentView() {
+        long nowMillis = wallClock.nowMillis();
+        PartitionView known = view;
+        if (known != null && nowMillis - known.verifiedAtMillis() < ClaimPolicy.VIEW_MAX_AGE_MILLIS) {
+            return known;
+        }
+        for (int i = 0; i < MAX_RACES; i++) {
+            PartitionView loaded = PartitionView.load(store, codec, partition, wallClock.nowMillis());
+            if (loaded != null) {
+                view = loaded;
+                return loaded;
+            }
+        }
+        throw new LaburnummoorException(ErrorCode.STORE_UNAVAILABLE, "partition " + partition + " keeps changing");
+    }
+
+    private Batch decide(PartitionView current, List<ClaimRecord> commands) {
+        Batch batch = new Batch();
+        long nowMillis = wallClock.nowMillis();
+        for (ClaimRecord command : commands) {
+            if (command.state() == ClaimState.CLAIMED && command.deadlineMillis() <= nowMillis) {
+                batch.outcomes.add(ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE));
+                continue;
+            }
+            ClaimRecord last = batch.changed.containsKey(command.id())
+                    ? batch.changed.get(command.id())
+                    : current.find(command.id());
+            ClaimRules.Decision decision = ClaimRules.decide(last, command);
+            batch.outcomes.add(decision.outcome());
+            if (decision.append()) {
+                batch.appended.add(command);
+                batch.changed.put(command.id(), command);
+            }
+        }
+        return batch;
+    }
+
+    private WriteResult write(PartitionView current, Batch batch) {
+        long startedAtMillis = wallClock.nowMillis();
+        String operationId = operationIds.get();
+        ClaimSegment next =
+                current.open().append(operationId, batch.appended, policy.dropDeadlineMillis(startedAtMillis));
+        String text = codec.encode(next);
+        if (text.length() >= policy.sealBytes()) {
+            next = next.seal();
+            text = codec.encode(next);
+        }
+        String key = PartitionView.segmentKey(partition, current.openNumber());
+        for (int i = 0; i < MAX_WRITE_TRIES; i++) {
+            try {
+                // The same write may be sent again: of all its copies at most one finds the expected version.
+                long version = store.compareAndSwap(key, current.openVersion(), text);
+                if (version != KeyValueStore.ABSENT) {
+                    current.advance(next, version, batch.changed, startedAtMillis);
+                    return WriteResult.WRITTEN;
+                }
+                return recognise(key, operationId);
+            } catch (LaburnummoorException unavailable) {
+                if (unavailable.errorCode() != ErrorCode.STORE_UNAVAILABLE) {
+                    throw unavailable;
+                }
+            }
+        }
+        return WriteResult.UNKNOWN;
+    }
+
+    /** Finds out whether a write whose version did not match had taken effect before its answer was lost. */
+    private WriteResult recognise(String key, String operationId) {
+        VersionedValue stored = store.get(key);
+        if (stored == null) {
+            return WriteResult.UNKNOWN;
+        }
+        if (!codec.decode(stored.value()).operationIds().contains(operationId)) {
+            return WriteResult.LOST_RACE;
+        }
+        // Other holders may have written since, so the view is read anew.
+        view = null;
+        return WriteResult.WRITTEN;
+    }
+
+    private enum WriteResult {
+        WRITTEN,
+        LOST_RACE,
+        UNKNOWN
+    }
+
+    private static final class Batch {
+        private final List<ClaimOutcome> outcomes = new ArrayList<>();
+        private final List<ClaimRecord> appended = new ArrayList<>();
+        private final Map<RequestId, ClaimRecord> changed = new HashMap<>();
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/ClaimOutcome.java
@@ -0,0 +1,34 @@
+package io.laburnummoor.core.request;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Answer to one claim command.
+ *
+ * @param kind what became of the command
+ * @param result recorded result, null unless the kind is {@link Kind#ALREADY_DONE}
+ */
+public record ClaimOutcome(Kind kind, @Nullable RecordedResult result) {
+    /** What became of a command. */
+    public enum Kind {
+        /** The claim is durable and belongs to the nonce of the command. */
+        GRANTED,
+        /** Another claim of the key exists and has no result. */
+        ALREADY_CLAIMED,
+        /** The key has a recorded result. */
+        ALREADY_DONE,
+        /** The key was used with another body. */
+        KEY_REUSED,
+        /** The result or release is durable, or was before. */
+        RECORDED,
+        /** The command contradicts the state of the key and was not recorded. */
+        REJECTED,
+        /** It is not known whether the command took or will take effect. */
+        UNAVAILABLE
+    }
+
+    /** Returns an outcome without a result. */
+    public static ClaimOutcome of(Kind kind) {
+        return new ClaimOutcome(kind, null);
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/NonIdempotentCall.java
@@ -0,0 +1,108 @@
+package io.laburnummoor.core.request;
+
+import io.laburnummoor.core.ErrorCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides about one non-idempotent call on the router that received it: when it may be handed over, and what the caller
+ * is told. Events of one call are serialised by its owner.
+ */
+public final class NonIdempotentCall {
+    private final ClaimRecord claim;
+    private final CallEffects effects;
+    private Phase phase = Phase.CLAIMING;
+
+    /** Creates the call of a claim that is about to be requested. */
+    public NonIdempotentCall(ClaimRecord claim, CallEffects effects) {
+        this.claim = claim;
+        this.effects = effects;
+    }
+
+    /** Requests the claim. */
+    public void start() {
+        effects.claim(claim);
+    }
+
+    /** Takes the answer to the claim; {@code UNAVAILABLE} also stands for no answer. */
+    public void onClaimOutcome(ClaimOutcome outcome, long nowMillis) {
+        if (phase != Phase.CLAIMING) {
+            return;
+        }
+        switch (outcome.kind()) {
+            case GRANTED -> {
+                if (nowMillis < claim.deadlineMillis()) {
+                    phase = Phase.HANDING_OVER;
+                    effects.handOver();
+                } else {
+                    giveUp("the claim took too long");
+                }
+            }
+            case ALREADY_DONE -> finishWithRecorded(outcome.result());
+            case ALREADY_CLAIMED -> fail(
+                    ErrorCode.OUTCOME_UNKNOWN, "a call with this key was claimed before and has no recorded result");
+            case KEY_REUSED -> fail(ErrorCode.KEY_REUSED, "the key was used before with another request");
+            default -> giveUp("no claim could be made");
+        }
+    }
+
+    /** Takes the proof that no byte of the call reached an upstream. */
+    public void onNeverHandedOver(String reason) {
+        if (phase == Phase.HANDING_OVER) {
+            giveUp(reason);
+        }
+    }
+
+    /** Takes the upstream's answer. */
+    public void onResult(RecordedResult recorded) {
+        if (phase == Phase.HANDING_OVER) {
+            phase = Phase.FINISHED;
+            effects.record(claim.done(recorded));
+            effects.answerLive();
+        }
+    }
+
+    /** Takes a failure after which the upstream may have run the call; the claim stays. */
+    public void onOutcomeUnknown(String reason) {
+        if (phase == Phase.HANDING_OVER) {
+            fail(ErrorCode.OUTCOME_UNKNOWN, reason);
+        }
+    }
+
+    /** Takes the end of the attempt to release; the claim is released now or will be in the background. */
+    public void onReleaseAttempted(String reason) {
+        if (phase == Phase.RELEASING) {
+            fail(ErrorCode.NOT_RUN, reason);
+        }
+    }
+
+    private void giveUp(String reason) {
+        phase = Phase.RELEASING;
+        effects.release(claim.released(), reason);
+    }
+
+    private void finishWithRecorded(@Nullable RecordedResult result) {
+        if (result == null || result.bodyBase64() == null) {
+            fail(
+                    ErrorCode.OUTCOME_UNKNOWN,
+                    result == null
+                            ? "the call has finished, its result was not recorded"
+                            : "the call has finished with status " + result.status() + ", its body of "
+                                    + result.sizeBytes() + " bytes was too large to record");
+            return;
+        }
+        phase = Phase.FINISHED;
+        effects.answerRecorded(result);
+    }
+
+    private void fail(ErrorCode code, String detail) {
+        phase = Phase.FINISHED;
+        effects.fail(code, detail);
+    }
+
+    private enum Phase {
+        CLAIMING,
+        HANDING_OVER,
+        RELEASING,
+        FINISHED
+    }
+}
