--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLeases.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLeases.java
@@ -26,7 +26,7 @@
     private final Clock clock;
     private final ConcurrentHashMap<Integer, Long> heldVersions = new ConcurrentHashMap<>();
     private long leaseId = KeyValueStore.NO_LEASE;
-    private long leaseDeadlineMillis;
+    private volatile long leaseDeadlineMillis;
 
     /** Creates the leases of a router; the clock is monotonic. */
     public PartitionLeases(KeyValueStore store, String routerName, Clock clock) {
@@ -41,8 +41,17 @@
      * @param takeOver whether the asking router could not reach the present holder
      * @return name of the holder, which is this router if it was free
      */
-    public synchronized String acquire(int partition, boolean takeOver) {
-        if (heldVersions.containsKey(partition) && clock.nowMillis() < leaseDeadlineMillis) {
+    public String acquire(int partition, boolean takeOver) {
+        return isHeld(partition) ? routerName : acquireFromStore(partition, takeOver);
+    }
+
+    /** Returns whether this router believes to hold a partition. */
+    public boolean isHeld(int partition) {
+        return heldVersions.containsKey(partition) && clock.nowMillis() < leaseDeadlineMillis;
+    }
+
+    private synchronized String acquireFromStore(int partition, boolean takeOver) {
+        if (isHeld(partition)) {
             return routerName;
         }
         ensureLease();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLog.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLog.java
@@ -66,7 +66,10 @@
                 PartitionView current = currentView();
                 Batch batch = decide(current, commands);
                 if (batch.appended.isEmpty()) {
-                    return batch.outcomes;
+                    if (!batch.needsVerification || verify(current)) {
+                        return batch.outcomes;
+                    }
+                    continue;
                 }
                 WriteResult result = write(current, batch);
                 if (result == WriteResult.WRITTEN) {
@@ -130,6 +133,9 @@
                     : current.find(command.id());
             ClaimRules.Decision decision = ClaimRules.decide(last, command);
             batch.outcomes.add(decision.outcome());
+            batch.needsVerification |= !decision.append()
+                    && decision.outcome().kind() != ClaimOutcome.Kind.ALREADY_DONE
+                    && decision.outcome().kind() != ClaimOutcome.Kind.GRANTED;
             if (decision.append()) {
                 batch.appended.add(command);
                 batch.changed.put(command.id(), command);
@@ -138,6 +144,22 @@
         return batch;
     }
 
+    /**
+     * Checks by one read that the view is current. A write checks it anyway; without one, a former holder would reject
+     * the result of a claim that was made through its successor.
+     */
+    private boolean verify(PartitionView current) {
+        long startedAtMillis = wallClock.nowMillis();
+        VersionedValue stored = store.get(PartitionView.segmentKey(partition, current.openNumber()));
+        long version = stored == null ? KeyValueStore.ABSENT : stored.version();
+        if (version == current.openVersion()) {
+            current.verifiedAt(startedAtMillis);
+            return true;
+        }
+        view = null;
+        return false;
+    }
+
     private WriteResult write(PartitionView current, Batch batch) {
         long startedAtMillis = wallClock.nowMillis();
         String operationId = operationIds.get();
@@ -191,5 +213,6 @@
         private final List<ClaimOutcome> outcomes = new ArrayList<>();
         private final List<ClaimRecord> appended = new ArrayList<>();
         private final Map<RequestId, ClaimRecord> changed = new HashMap<>();
+        private boolean needsVerification;
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionView.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionView.java
@@ -76,6 +76,11 @@
         verifiedAtMillis = writeStartedAtMillis;
     }
 
+    /** Notes that the open segment was found unchanged at a time. */
+    void verifiedAt(long nowMillis) {
+        verifiedAtMillis = nowMillis;
+    }
+
     @Nullable
     ClaimRecord find(RequestId id) {
         return lastRecords.get(id);
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ClaimClient.java
@@ -0,0 +1,129 @@
+package io.laburnummoor.router.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+import java.util.function.IntFunction;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.ClaimPolicy;
+import io.laburnummoor.core.request.ClaimOutcome;
+import io.laburnummoor.core.request.ClaimRecord;
+import io.laburnummoor.core.request.ClaimState;
+import io.laburnummoor.router.connection.ClaimChannel;
+import io.laburnummoor.wire.process.PeriodicTask;
+import org.jboss.logging.Logger;
+
+/**
+ * The claimant's side: sends commands to the holders of their partitions and repeats results and releases until they
+ * are durable.
+ */
+public final class ClaimClient implements Service {
+    private static final Logger LOGGER = Logger.getLogger(ClaimClient.class);
+    private static final long REPEAT_INTERVAL_MILLIS = 250;
+    /**
+     * Bound on results and releases that wait for the key-value service. Beyond it they are dropped: the key then stays
+     * claimed, which callers see as {@code outcome_unknown}.
+     */
+    private static final int MAX_UNRECORDED = 10_000;
+
+    private final List<ClaimChannel> channels = new ArrayList<>();
+    private final ConcurrentHashMap<String, ClaimRecord> unrecorded = new ConcurrentHashMap<>();
+    private final ExecutorService executor =
+            Executors.newFixedThreadPool(ClaimPolicy.PARTITIONS, task -> new Thread(task, "claim-channel"));
+    private final PeriodicTask repetition =
+            new PeriodicTask("claim-repeat", REPEAT_INTERVAL_MILLIS, this::repeatUnrecorded);
+    private final Clock clock;
+    private final long drainMillis;
+
+    /** Creates a client; its stop waits for unrecorded results for at most the drain time. */
+    public ClaimClient(IntFunction<ClaimChannel> channels, Clock clock, long drainMillis) {
+        for (int i = 0; i < ClaimPolicy.PARTITIONS; i++) {
+            this.channels.add(channels.apply(i));
+        }
+        this.clock = clock;
+        this.drainMillis = drainMillis;
+    }
+
+    /** Requests a claim. */
+    public void claim(ClaimRecord claim, Consumer<ClaimOutcome> onOutcome) {
+        send(claim, onOutcome);
+    }
+
+    /**
+     * Records a result or release and repeats it until it is durable.
+     *
+     * @param onFirstAnswer called when the first attempt has ended, also without success
+     */
+    public void record(ClaimRecord command, Runnable onFirstAnswer) {
+        if (unrecorded.size() >= MAX_UNRECORDED) {
+            LOGGER.warnf("too many results wait for the key-value service, key %s stays claimed", command.id());
+            onFirstAnswer.run();
+            return;
+        }
+        unrecorded.put(command.nonce(), command);
+        send(command, outcome -> {
+            onRecorded(command, outcome);
+            onFirstAnswer.run();
+        });
+    }
+
+    /** Returns the number of results and releases that are not yet durable. */
+    public int unrecordedCount() {
+        return unrecorded.size();
+    }
+
+    @Override
+    public void start() {
+        repetition.start();
+    }
+
+    @Override
+    public void stop() {
+        long deadlineMillis = clock.nowMillis() + drainMillis;
+        try {
+            while (!unrecorded.isEmpty() && clock.nowMillis() < deadlineMillis) {
+                Thread.sleep(REPEAT_INTERVAL_MILLIS / 10);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        if (!unrecorded.isEmpty()) {
+            LOGGER.warnf("%d results of non-idempotent calls were not recorded", unrecorded.size());
+        }
+        repetition.stop();
+        executor.shutdownNow();
+        channels.forEach(ClaimChannel::close);
+    }
+
+    private void send(ClaimRecord command, Consumer<ClaimOutcome> onOutcome) {
+        ClaimChannel channel = channels.get(ClaimPolicy.partitionOf(command.id()));
+        if (channel.add(command, onOutcome)) {
+            executor.execute(() -> drain(channel));
+        }
+    }
+
+    private void drain(ClaimChannel channel) {
+        if (channel.sendBatch()) {
+            executor.execute(() -> drain(channel));
+        }
+    }
+
+    private void repeatUnrecorded() {
+        unrecorded.values().forEach(command -> send(command, outcome -> onRecorded(command, outcome)));
+    }
+
+    private void onRecorded(ClaimRecord command, ClaimOutcome outcome) {
+        if (outcome.kind() == ClaimOutcome.Kind.UNAVAILABLE) {
+            return;
+        }
+        unrecorded.remove(command.nonce(), command);
+        if (outcome.kind() == ClaimOutcome.Kind.REJECTED && command.state() == ClaimState.DONE) {
+            LOGGER.errorf("result of key %s was rejected", command.id());
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/PartitionCommitter.java
@@ -0,0 +1,210 @@
+package io.laburnummoor.router.process;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.ClaimPolicy;
+import io.laburnummoor.core.process.CommitRate;
+import io.laburnummoor.core.process.PartitionLeases;
+import io.laburnummoor.core.process.PartitionLog;
+import io.laburnummoor.core.request.ClaimOutcome;
+import io.laburnummoor.core.request.ClaimRecord;
+import io.laburnummoor.router.connection.ClaimHolder;
+import io.laburnummoor.wire.process.PeriodicTask;
+import org.jboss.logging.Logger;
+
+/** This router as holder of partitions: groups the commands of all routers into commits at a bounded rate. */
+public final class PartitionCommitter implements ClaimHolder, Service {
+    private static final Logger LOGGER = Logger.getLogger(PartitionCommitter.class);
+    private static final int COMMIT_THREADS = 8;
+    /** Time for which commands are refused at once after a failure of the key-value service. */
+    private static final long OUTAGE_BACKOFF_MILLIS = 250;
+
+    private static final long DROP_INTERVAL_MILLIS = 60_000;
+
+    private final String routerName;
+    private final PartitionLeases leases;
+    private final Clock clock;
+    private final List<Partition> partitions = new ArrayList<>();
+    private final AtomicLong outageUntilMillis = new AtomicLong(Long.MIN_VALUE / 2);
+    private final ScheduledThreadPoolExecutor executor =
+            new ScheduledThreadPoolExecutor(COMMIT_THREADS, task -> new Thread(task, "claim-commit"));
+    private final PeriodicTask renewal =
+            new PeriodicTask("claim-lease", PartitionLeases.RENEWAL_INTERVAL_MILLIS, this::renewLease);
+    private final PeriodicTask dropping = new PeriodicTask("claim-drop", DROP_INTERVAL_MILLIS, this::dropSegments);
+
+    /** Creates a committer; the clock is monotonic. */
+    public PartitionCommitter(String routerName, PartitionLeases leases, Clock clock, IntFunction<PartitionLog> logs) {
+        this.routerName = routerName;
+        this.leases = leases;
+        this.clock = clock;
+        for (int i = 0; i < ClaimPolicy.PARTITIONS; i++) {
+            partitions.add(new Partition(logs.apply(i)));
+        }
+    }
+
+    @Override
+    public void start() {
+        renewal.start();
+        dropping.start();
+    }
+
+    @Override
+    public void stop() {
+        renewal.stop();
+        dropping.stop();
+        executor.shutdown();
+        try {
+            if (!executor.awaitTermination(ClaimPolicy.CLAIM_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
+                LOGGER.warn("claims were still being committed when the router stopped");
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        leases.releaseAll();
+    }
+
+    @Override
+    public Reply commit(int partition, boolean takeOver, List<ClaimRecord> commands) {
+        if (clock.nowMillis() < outageUntilMillis.get()) {
+            return new Reply(routerName, unavailable(commands));
+        }
+        try {
+            String holder = leases.acquire(partition, takeOver);
+            if (!holder.equals(routerName)) {
+                return new Reply(holder, List.of());
+            }
+        } catch (LaburnummoorException failure) {
+            noteOutage(failure);
+            return new Reply(routerName, unavailable(commands));
+        }
+        Pending pending = new Pending(commands, new CompletableFuture<>());
+        partitions.get(partition).add(pending);
+        try {
+            return new Reply(routerName, pending.outcomes.get(ClaimPolicy.CLAIM_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        } catch (ExecutionException | TimeoutException failure) {
+            LOGGER.warnf("commit of partition %d has no known outcome: %s", partition, failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        return new Reply(routerName, unavailable(commands));
+    }
+
+    private void noteOutage(LaburnummoorException failure) {
+        if (failure.errorCode() != ErrorCode.STORE_UNAVAILABLE) {
+            throw failure;
+        }
+        outageUntilMillis.set(clock.nowMillis() + OUTAGE_BACKOFF_MILLIS);
+    }
+
+    private void renewLease() {
+        try {
+            leases.renew();
+        } catch (LaburnummoorException failure) {
+            LOGGER.warnf("lease of claim partitions was not renewed: %s", failure.getMessage());
+        }
+    }
+
+    private void dropSegments() {
+        for (int i = 0; i < partitions.size(); i++) {
+            if (leases.isHeld(i)) {
+                executor.execute(partitions.get(i)::dropOldest);
+            }
+        }
+    }
+
+    private static List<ClaimOutcome> unavailable(List<ClaimRecord> commands) {
+        return Collections.nCopies(commands.size(), ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE));
+    }
+
+    private record Pending(List<ClaimRecord> commands, CompletableFuture<List<ClaimOutcome>> outcomes) {}
+
+    /** Commands of one partition; at most one task of a partition is scheduled or runs at a time. */
+    private final class Partition {
+        private final PartitionLog log;
+        private final Queue<Pending> queue = new ConcurrentLinkedQueue<>();
+        private final AtomicBoolean scheduled = new AtomicBoolean();
+        private final AtomicBoolean dropRequested = new AtomicBoolean();
+        private final CommitRate rate = new CommitRate(ClaimPolicy.COMMIT_INTERVAL_MILLIS, ClaimPolicy.COMMIT_BURST);
+
+        Partition(PartitionLog log) {
+            this.log = log;
+        }
+
+        void add(Pending pending) {
+            queue.add(pending);
+            schedule();
+        }
+
+        void dropOldest() {
+            dropRequested.set(true);
+            schedule();
+        }
+
+        private void schedule() {
+            if (scheduled.compareAndSet(false, true)) {
+                executor.schedule(this::run, rate.delayMillis(clock.nowMillis()), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void run() {
+            try {
+                if (!queue.isEmpty()) {
+                    commitOnce();
+                }
+                if (dropRequested.getAndSet(false) && log.dropOldest()) {
+                    dropRequested.set(true);
+                }
+            } catch (RuntimeException failure) {
+                LOGGER.warnf("claim partition was not written: %s", failure);
+            } finally {
+                scheduled.set(false);
+                if (!queue.isEmpty() || dropRequested.get()) {
+                    schedule();
+                }
+            }
+        }
+
+        private void commitOnce() {
+            List<Pending> taken = new ArrayList<>();
+            List<ClaimRecord> commands = new ArrayList<>();
+            Pending next = queue.peek();
+            while (next != null
+                    && (taken.isEmpty() || commands.size() + next.commands.size() <= ClaimPolicy.MAX_BATCH_RECORDS)) {
+                queue.remove();
+                taken.add(next);
+                commands.addAll(next.commands);
+                next = queue.peek();
+            }
+            rate.take(clock.nowMillis());
+            List<ClaimOutcome> outcomes;
+            try {
+                outcomes = log.commit(commands);
+            } catch (RuntimeException failure) {
+                taken.forEach(each -> each.outcomes.completeExceptionally(failure));
+                throw failure;
+            }
+            int start = 0;
+            for (Pending each : taken) {
+                int end = start + each.commands.size();
+                each.outcomes.complete(List.copyOf(outcomes.subList(start, end)));
+                start = end;
+            }
+        }
+    }
+}
