Serve plain services on the router

Cause: calls to plain services had no route. Change: /services/<service>/<path>, idempotent calls with retries in other failure domains, non-idempotent calls with claims, metrics, wiring.

--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ClaimClient.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ClaimClient.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 
@@ -32,7 +33,7 @@
     private static final int MAX_UNRECORDED = 10_000;
 
     private final List<ClaimChannel> channels = new ArrayList<>();
-    private final ConcurrentHashMap<String, ClaimRecord> unrecorded = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<String, Unrecorded> unrecorded = new ConcurrentHashMap<>();
     private final ExecutorService executor =
             Executors.newFixedThreadPool(ClaimPolicy.PARTITIONS, task -> new Thread(task, "claim-channel"));
     private final PeriodicTask repetition =
@@ -65,11 +66,9 @@
             onFirstAnswer.run();
             return;
         }
-        unrecorded.put(command.nonce(), command);
-        send(command, outcome -> {
-            onRecorded(command, outcome);
-            onFirstAnswer.run();
-        });
+        Unrecorded entry = new Unrecorded(command, new AtomicBoolean());
+        unrecorded.put(command.nonce(), entry);
+        sendRecording(entry, onFirstAnswer);
     }
 
     /** Returns the number of results and releases that are not yet durable. */
@@ -100,6 +99,16 @@
         channels.forEach(ClaimChannel::close);
     }
 
+    private void sendRecording(Unrecorded entry, Runnable onAnswer) {
+        if (entry.inFlight.compareAndSet(false, true)) {
+            send(entry.command, outcome -> {
+                entry.inFlight.set(false);
+                onRecorded(entry.command, outcome);
+                onAnswer.run();
+            });
+        }
+    }
+
     private void send(ClaimRecord command, Consumer<ClaimOutcome> onOutcome) {
         ClaimChannel channel = channels.get(ClaimPolicy.partitionOf(command.id()));
         if (channel.add(command, onOutcome)) {
@@ -114,16 +123,18 @@
     }
 
     private void repeatUnrecorded() {
-        unrecorded.values().forEach(command -> send(command, outcome -> onRecorded(command, outcome)));
+        unrecorded.values().forEach(entry -> sendRecording(entry, () -> {}));
     }
 
     private void onRecorded(ClaimRecord command, ClaimOutcome outcome) {
         if (outcome.kind() == ClaimOutcome.Kind.UNAVAILABLE) {
             return;
         }
-        unrecorded.remove(command.nonce(), command);
+        unrecorded.remove(command.nonce());
         if (outcome.kind() == ClaimOutcome.Kind.REJECTED && command.state() == ClaimState.DONE) {
             LOGGER.errorf("result of key %s was rejected", command.id());
         }
     }
+
+    private record Unrecorded(ClaimRecord command, AtomicBoolean inFlight) {}
 }
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/PlainCalls.java
@@ -0,0 +1,71 @@
+package io.laburnummoor.router.process;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.router.request.CallAnswer;
+import io.laburnummoor.router.request.CallContext;
+import io.laburnummoor.router.request.IdempotentCallSession;
+import io.laburnummoor.router.request.NonIdempotentCallSession;
+import io.laburnummoor.router.request.PlainCall;
+import jakarta.ws.rs.container.AsyncResponse;
+
+/** The calls to plain services that run on this router. */
+public final class PlainCalls implements Service {
+    private static final long DRAIN_POLL_MILLIS = 10;
+
+    private final CallContext context;
+    private final long drainMillis;
+    private final AtomicInteger runningCount = new AtomicInteger();
+    private final AtomicBoolean stopping = new AtomicBoolean();
+
+    /** Creates the calls of a router; a stop waits for running calls for at most the drain time. */
+    public PlainCalls(CallContext context, long drainMillis) {
+        this.context = context;
+        this.drainMillis = drainMillis;
+    }
+
+    /** Returns what the calls share. */
+    public CallContext context() {
+        return context;
+    }
+
+    /** Starts a call. */
+    public void submit(PlainCall call, boolean idempotent, AsyncResponse response) {
+        runningCount.incrementAndGet();
+        if (stopping.get()) {
+            runningCount.decrementAndGet();
+            throw new LaburnummoorException(
+                    idempotent ? ErrorCode.STOPPING : ErrorCode.NOT_RUN, "this router is stopping");
+        }
+        CallAnswer answer = new CallAnswer(response, idempotent, context.metrics(), runningCount::decrementAndGet);
+        if (idempotent) {
+            new IdempotentCallSession(call, context, answer).start();
+        } else {
+            new NonIdempotentCallSession(call, context, answer).start();
+        }
+    }
+
+    @Override
+    public void start() {}
+
+    /** Refuses new calls and waits for the running ones. */
+    @Override
+    public void stop() {
+        stopping.set(true);
+        long deadlineMillis = context.clock().nowMillis() + drainMillis;
+        try {
+            while (runningCount.get() > 0 && context.clock().nowMillis() < deadlineMillis) {
+                Thread.sleep(DRAIN_POLL_MILLIS);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        ScheduledExecutorService timer = context.timer();
+        timer.shutdown();
+    }
+}
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 
@@ -12,26 +13,38 @@
 import com.google.inject.Singleton;
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.CallRetryBudget;
+import io.laburnummoor.core.process.ClaimPolicy;
 import io.laburnummoor.core.process.ConfigHolder;
 import io.laburnummoor.core.process.KeyValueStore;
+import io.laburnummoor.core.process.PartitionLeases;
+import io.laburnummoor.core.process.PartitionLog;
 import io.laburnummoor.core.process.RouterPeers;
 import io.laburnummoor.core.process.RoutingTable;
 import io.laburnummoor.core.process.UpstreamSelector;
 import io.laburnummoor.core.version.TokenPace;
+import io.laburnummoor.router.connection.ClaimChannel;
 import io.laburnummoor.router.connection.JournalPeers;
+import io.laburnummoor.router.connection.RemoteClaimHolder;
+import io.laburnummoor.router.request.CallContext;
 import io.laburnummoor.router.request.GenerationContext;
 import io.laburnummoor.router.version.ConfigFollower;
+import io.laburnummoor.wire.generated.ClaimService;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
+import io.laburnummoor.wire.process.JacksonSegmentCodec;
 import io.laburnummoor.wire.process.JsonHttp;
 import io.laburnummoor.wire.process.ThriftServer;
 import io.laburnummoor.wire.process.VmListClient;
 import io.laburnummoor.wire.request.HttpEngineClient;
+import io.laburnummoor.wire.request.PlainServiceClient;
 import org.apache.thrift.TProcessor;
 
 /** Wires the objects of a router. */
 public final class RouterModule extends AbstractModule {
     private static final int PLATFORM_TIMEOUT_MILLIS = 2_000;
-    private static final int PEER_WORKER_THREADS = 4;
+    /** Claims wait for their group commit, so one thread serves only about five batches a second. */
+    private static final int PEER_WORKER_THREADS = 32;
+
     private static final int WRITER_THREADS = 32;
 
     private final RouterSettings settings;
@@ -49,6 +62,7 @@
         bind(RoutingTable.class).toInstance(new RoutingTable());
         bind(RouterPeers.class).toInstance(new RouterPeers());
         bind(RouterMetrics.class).toInstance(new RouterMetrics());
+        bind(PlainServiceClient.class).toInstance(new PlainServiceClient());
         bind(HttpEngineClient.class).toInstance(new HttpEngineClient());
         bind(JsonHttp.class).toInstance(new JsonHttp(PLATFORM_TIMEOUT_MILLIS));
     }
@@ -88,6 +102,46 @@
         return new GenerationRegistry(context, settings.drainMillis());
     }
 
+    @Provides
+    @Singleton
+    PartitionCommitter partitionCommitter(KeyValueStore store, Clock clock) {
+        JacksonSegmentCodec codec = new JacksonSegmentCodec();
+        return new PartitionCommitter(
+                settings.name(),
+                new PartitionLeases(store, settings.name(), clock),
+                clock,
+                partition -> new PartitionLog(
+                        partition, store, codec, ClaimPolicy.STANDARD, Clock.wall(), () -> UUID.randomUUID()
+                                .toString()));
+    }
+
+    @Provides
+    @Singleton
+    ClaimClient claimClient(PartitionCommitter local, RouterPeers peers, Clock clock) {
+        return new ClaimClient(
+                partition -> new ClaimChannel(partition, settings.name(), local, peers), clock, settings.drainMillis());
+    }
+
+    @Provides
+    @Singleton
+    PlainCalls plainCalls(
+            Clock clock, RoutingTable routing, PlainServiceClient client, ClaimClient claims, RouterMetrics metrics) {
+        ClaimMetrics claimMetrics = new ClaimMetrics(metrics.registry());
+        claimMetrics.watchUnrecorded(claims);
+        CallContext context = new CallContext(
+                settings.name(),
+                clock,
+                Clock.wall(),
+                routing,
+                UpstreamSelector.standard(),
+                client,
+                claims,
+                new CallRetryBudget(),
+                Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "call-timer")),
+                claimMetrics);
+        return new PlainCalls(context, settings.drainMillis());
+    }
+
     @Provides
     @Singleton
     ReadinessCheck readiness(ConfigHolder config, RoutingTable routing, Clock clock) {
@@ -97,21 +151,32 @@
     @Provides
     @Singleton
     RouterHttpServer httpServer(
-            GenerationRegistry registry, ConfigHolder config, ReadinessCheck readiness, RouterMetrics metrics) {
+            GenerationRegistry registry,
+            PlainCalls plainCalls,
+            ConfigHolder config,
+            ReadinessCheck readiness,
+            RouterMetrics metrics) {
         CompletionsResource completions = new CompletionsResource(
                 new RequestAuthenticator(config),
                 registry,
                 Executors.newFixedThreadPool(WRITER_THREADS, task -> new Thread(task, "caller-writer")),
                 settings.maxBodyBytes());
-
-        return new RouterHttpServer(settings, metrics, readiness, List.of(completions));
+        ServicesResource plainServices = new ServicesResource(
+                new RequestAuthenticator(config),
+                plainCalls,
+                ClaimPolicy.STANDARD,
+                Clock.wall(),
+                settings.maxBodyBytes());
+        return new RouterHttpServer(settings, metrics, readiness, List.of(completions, plainServices));
     }
 
     /** The services that other routers call, by name. */
     @Provides
     @Singleton
-    ThriftServer peerServer() {
+    ThriftServer peerServer(PartitionCommitter committer) {
         Map<String, TProcessor> processors = new LinkedHashMap<>();
+        processors.put(
+                RemoteClaimHolder.SERVICE_NAME, new ClaimService.Processor<>(new ClaimServiceHandler(committer)));
         return new ThriftServer(settings.host(), settings.peerPort(), PEER_WORKER_THREADS, processors);
     }
 
@@ -138,8 +203,12 @@
                 Membership.class,
                 HttpEngineClient.class,
                 JournalPeers.class,
+                PartitionCommitter.class,
                 ThriftServer.class,
+                PlainServiceClient.class,
+                ClaimClient.class,
                 RouterHttpServer.class,
+                PlainCalls.class,
                 GenerationRegistry.class);
         return order.stream().<Service>map(injector::getInstance).toList();
     }
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ServicesResource.java
@@ -0,0 +1,195 @@
+package io.laburnummoor.router.process;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.process.ClaimPolicy;
+import io.laburnummoor.core.request.IdempotencyKey;
+import io.laburnummoor.core.request.RequestId;
+import io.laburnummoor.core.version.OrganisationDeclaration;
+import io.laburnummoor.core.version.RouteClassifier;
+import io.laburnummoor.core.version.ServiceDeclaration;
+import io.laburnummoor.router.request.PlainCall;
+import io.laburnummoor.wire.request.PlainRequest;
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.ws.rs.DELETE;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HEAD;
+import jakarta.ws.rs.OPTIONS;
+import jakarta.ws.rs.PATCH;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.PUT;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.container.AsyncResponse;
+import jakarta.ws.rs.container.Suspended;
+import jakarta.ws.rs.core.Context;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.jspecify.annotations.Nullable;
+
+/** {@code /services/<service>/<path>}: calls to plain services. */
+@Path("/services/{rest: .*}")
+public final class ServicesResource {
+    /** Header with the time that the caller waits at most. */
+    static final String TIMEOUT_HEADER = "X-Timeout-Millis";
+
+    private static final String PREFIX = "/services/";
+    private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+    private static final long MAX_TIMEOUT_MILLIS = 300_000;
+    private static final String[] FORWARDED_HEADERS = {
+        "Content-Type", "Accept", "Accept-Language", "If-None-Match", "X-Caller-Id"
+    };
+    /**
+     * A path that an upstream could resolve to another one would escape the declaration of its route, so dot segments,
+     * empty segments, backslashes, path parameters and encoded slashes are refused.
+     */
+    private static final Pattern UNSAFE_PATH = Pattern.compile("(?i)//|\\\\|;|%2f|%5c|%25|%00|/(\\.|%2e){1,2}(/|$)");
+
+    private final RequestAuthenticator authenticator;
+    private final PlainCalls calls;
+    private final ClaimPolicy policy;
+    private final Clock wallClock;
+    private final int maxBodyBytes;
+
+    /** Creates the resource. */
+    public ServicesResource(
+            RequestAuthenticator authenticator,
+            PlainCalls calls,
+            ClaimPolicy policy,
+            Clock wallClock,
+            int maxBodyBytes) {
+        this.authenticator = authenticator;
+        this.calls = calls;
+        this.policy = policy;
+        this.wallClock = wallClock;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /** Forwards a GET call. */
+    @GET
+    public void get(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
+        forward(response, request, body);
+    }
+
+    /** Forwards a HEAD call. */
+    @HEAD
+    public void head(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
+        forward(response, request, body);
+    }
+
+    /** Forwards an OPTIONS call. */
+    @OPTIONS
+    public void options(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
+        forward(response, request, body);
+    }
+
+    /** Forwards a POST call. */
+    @POST
+    public void post(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
+        forward(response, request, body);
+    }
+
+    /** Forwards a PUT call. */
+    @PUT
+    public void put(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
+        forward(response, request, body);
+    }
+
+    /** Forwards a PATCH call. */
+    @PATCH
+    public void patch(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
+        forward(response, request, body);
+    }
+
+    /** Forwards a DELETE call. */
+    @DELETE
+    public void delete(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
+        forward(response, request, body);
+    }
+
+    private void forward(AsyncResponse response, HttpServletRequest request, InputStream bodyStream) {
+        OrganisationDeclaration organisation = authenticator.authenticate(request.getHeader("Authorization"));
+        String rest = request.getRequestURI().substring(PREFIX.length());
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        if (UNSAFE_PATH.matcher(path).find()) {
+            throw badRequest("the path must not hold dot segments, empty segments, parameters or encoded slashes");
+        }
+        ServiceDeclaration service = authenticator.requireService(name, ServiceDeclaration.Kind.PLAIN);
+        byte[] body = readBody(bodyStream);
+        boolean idempotent = RouteClassifier.isIdempotent(service, request.getMethod(), path);
+        String key = idempotent ? "" : checkedKey(request.getHeader("Idempotency-Key"));
+        String query = request.getQueryString();
+        String pathAndQuery = query == null ? path : path + "?" + query;
+        String digest = DigestUtils.sha256Hex(
+                request.getMethod() + "\n" + name + "\n" + pathAndQuery + "\n" + DigestUtils.sha256Hex(body));
+        long deadlineMillis = calls.context().clock().nowMillis() + timeoutMillis(request.getHeader(TIMEOUT_HEADER));
+        calls.submit(
+                new PlainCall(
+                        new RequestId(organisation.name(), key),
+                        name,
+                        new PlainRequest(request.getMethod(), pathAndQuery, headers(request, organisation, key), body),
+                        digest,
+                        deadlineMillis),
+                idempotent,
+                response);
+    }
+
+    private String checkedKey(@Nullable String text) {
+        if (text == null) {
+            throw badRequest("this call is not idempotent and needs an Idempotency-Key that is a UUIDv7");
+        }
+        IdempotencyKey key = IdempotencyKey.parse(text);
+        key.checkIssueTime(wallClock.nowMillis(), policy.retentionMillis());
+        return key.text();
+    }
+
+    private static Map<String, String> headers(
+            HttpServletRequest request, OrganisationDeclaration organisation, String key) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        for (String name : FORWARDED_HEADERS) {
+            String value = request.getHeader(name);
+            if (value != null) {
+                headers.put(name, value);
+            }
+        }
+        headers.put("X-Organisation", organisation.name());
+        if (!key.isEmpty()) {
+            headers.put("Idempotency-Key", key);
+        }
+        return headers;
+    }
+
+    private byte[] readBody(InputStream stream) {
+        try {
+            byte[] bytes = stream.readNBytes(maxBodyBytes + 1);
+            if (bytes.length > maxBodyBytes) {
+                throw new LaburnummoorException(
+                        ErrorCode.BODY_TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes");
+            }
+            return bytes;
+        } catch (IOException cause) {
+            throw new LaburnummoorException(ErrorCode.BAD_REQUEST, "the body could not be read", cause);
+        }
+    }
+
+    private static long timeoutMillis(@Nullable String text) {
+        if (text == null) {
+            return DEFAULT_TIMEOUT_MILLIS;
+        }
+        if (!text.matches("[1-9][0-9]{0,5}") || Long.parseLong(text) > MAX_TIMEOUT_MILLIS) {
+            throw badRequest(TIMEOUT_HEADER + " must be a whole number from 1 to " + MAX_TIMEOUT_MILLIS);
+        }
+        return Long.parseLong(text);
+    }
+
+    private static LaburnummoorException badRequest(String message) {
+        return new LaburnummoorException(ErrorCode.BAD_REQUEST, message);
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/CallAnswer.java
@@ -0,0 +1,77 @@
+package io.laburnummoor.router.request;
+
+import java.util.Base64;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.request.RecordedResult;
+import io.laburnummoor.router.connection.Problem;
+import io.laburnummoor.router.process.ClaimMetrics;
+import io.laburnummoor.wire.request.PlainResponse;
+import jakarta.ws.rs.container.AsyncResponse;
+import jakarta.ws.rs.core.Response;
+
+/** The answer to one caller, sent once. */
+public final class CallAnswer {
+    /** Header of an answer that was recorded by an earlier call with the same key. */
+    static final String REPLAYED_HEADER = "Idempotency-Replayed";
+
+    private final AsyncResponse response;
+    private final boolean idempotent;
+    private final ClaimMetrics metrics;
+    private final Runnable onEnd;
+    private final AtomicBoolean sent = new AtomicBoolean();
+
+    /** Creates the answer of a call; the end is reported once. */
+    public CallAnswer(AsyncResponse response, boolean idempotent, ClaimMetrics metrics, Runnable onEnd) {
+        this.response = response;
+        this.idempotent = idempotent;
+        this.metrics = metrics;
+        this.onEnd = onEnd;
+    }
+
+    /** Passes an upstream's response. */
+    public void sendLive(PlainResponse live) {
+        Response.ResponseBuilder builder = Response.status(live.status());
+        live.headers().forEach(builder::header);
+        send(withBody(builder, live.contentType(), live.body()));
+    }
+
+    /** Sends the recorded result of an earlier call. */
+    public void sendRecorded(RecordedResult result) {
+        String body = result.bodyBase64();
+        byte[] bytes = body == null ? new byte[0] : Base64.getDecoder().decode(body);
+        send(withBody(Response.status(result.status()).header(REPLAYED_HEADER, "true"), result.contentType(), bytes));
+    }
+
+    /** Sends an error. */
+    public void sendError(ErrorCode code, String detail) {
+        if (sent.compareAndSet(false, true)) {
+            metrics.callFailed(idempotent, code);
+            end(Problem.response(code, detail));
+        }
+    }
+
+    private void send(Response built) {
+        if (sent.compareAndSet(false, true)) {
+            metrics.callAnswered(idempotent);
+            end(built);
+        }
+    }
+
+    private void end(Response built) {
+        try {
+            response.resume(built);
+        } finally {
+            onEnd.run();
+        }
+    }
+
+    private static Response withBody(Response.ResponseBuilder builder, String contentType, byte[] body) {
+        if (body.length > 0) {
+            builder.entity(body)
+                    .header("Content-Type", contentType.isEmpty() ? "application/octet-stream" : contentType);
+        }
+        return builder.build();
+    }
+}
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
@@ -0,0 +1,174 @@
+package io.laburnummoor.router.request;
+
+import java.util.Base64;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.process.ClaimPolicy;
+import io.laburnummoor.core.process.RendezvousHash;
+import io.laburnummoor.core.request.CallEffects;
+import io.laburnummoor.core.request.ClaimOutcome;
+import io.laburnummoor.core.request.ClaimRecord;
+import io.laburnummoor.core.request.ClaimState;
+import io.laburnummoor.core.request.NonIdempotentCall;
+import io.laburnummoor.core.request.RecordedResult;
+import io.laburnummoor.core.request.SerialExecutor;
+import io.laburnummoor.wire.request.PlainCallListener;
+import io.laburnummoor.wire.request.PlainResponse;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+
+/** One non-idempotent call: carries out what its {@link NonIdempotentCall} decides. */
+public final class NonIdempotentCallSession implements CallEffects {
+    private static final Logger LOGGER = Logger.getLogger(NonIdempotentCallSession.class);
+    private static final int MAX_REFUSALS = 3;
+    private static final long RELEASE_WAIT_MILLIS = 1_000;
+
+    private final PlainCall call;
+    private final CallContext context;
+    private final CallAnswer answer;
+    private final NonIdempotentCall decision;
+    private final SerialExecutor serial =
+            new SerialExecutor(failure -> LOGGER.error("non-idempotent call met a fault", failure));
+    private final Set<String> refusedIds = new HashSet<>();
+    private final long claimDeadlineMillis;
+    private @Nullable PlainResponse live;
+
+    /** Creates a session with a new claim. */
+    public NonIdempotentCallSession(PlainCall call, CallContext context, CallAnswer answer) {
+        this.call = call;
+        this.context = context;
+        this.answer = answer;
+        long nowMillis = context.clock().nowMillis();
+        long claimMillis = Math.min(ClaimPolicy.CLAIM_TIMEOUT_MILLIS, call.deadlineMillis() - nowMillis);
+        this.claimDeadlineMillis = nowMillis + claimMillis;
+        this.decision = new NonIdempotentCall(
+                new ClaimRecord(
+                        ClaimState.CLAIMED,
+                        call.id(),
+                        UUID.randomUUID().toString(),
+                        context.routerName(),
+                        call.bodyDigest(),
+                        context.wallClock().nowMillis() + claimMillis,
+                        null),
+                this);
+    }
+
+    /** Requests the claim. */
+    public void start() {
+        serial.execute(decision::start);
+    }
+
+    @Override
+    public void claim(ClaimRecord claim) {
+        long startedAtMillis = context.clock().nowMillis();
+        context.claims().claim(claim, outcome -> {
+            context.metrics().claimAnswered(outcome.kind(), context.clock().nowMillis() - startedAtMillis);
+            onOutcome(outcome);
+        });
+        ClaimOutcome timedOut = ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE);
+        context.timer()
+                .schedule(
+                        () -> onOutcome(timedOut),
+                        Math.max(0, claimDeadlineMillis - startedAtMillis),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void handOver() {
+        long nowMillis = context.clock().nowMillis();
+        UpstreamState state = nowMillis >= claimDeadlineMillis
+                ? null
+                : context.select(call.service(), RendezvousHash.hash(call.id().toString()), null, refusedIds);
+        if (state == null || refusedIds.size() >= MAX_REFUSALS) {
+            decision.onNeverHandedOver("no upstream of " + call.service() + " accepted a connection");
+            return;
+        }
+        state.requestStarted();
+        context.client()
+                .send(state.upstream(), call.request(), false, call.deadlineMillis() - nowMillis, new HandOver(state));
+    }
+
+    @Override
+    public void release(ClaimRecord released, String reason) {
+        Runnable attempted = () -> serial.execute(() -> decision.onReleaseAttempted(reason));
+        context.claims().record(released, attempted);
+        context.timer().schedule(attempted, RELEASE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void record(ClaimRecord done) {
+        context.claims().record(done, () -> {});
+    }
+
+    @Override
+    public void answerLive() {
+        PlainResponse response = live;
+        if (response != null) {
+            answer.sendLive(response);
+        }
+    }
+
+    @Override
+    public void answerRecorded(RecordedResult result) {
+        answer.sendRecorded(result);
+    }
+
+    @Override
+    public void fail(ErrorCode code, String detail) {
+        answer.sendError(code, detail);
+    }
+
+    private void onOutcome(ClaimOutcome outcome) {
+        serial.execute(
+                () -> decision.onClaimOutcome(outcome, context.wallClock().nowMillis()));
+    }
+
+    private static RecordedResult toRecord(PlainResponse response) {
+        byte[] body = response.body();
+        boolean recorded = body.length <= ClaimPolicy.MAX_RECORDED_BODY_BYTES;
+        return new RecordedResult(
+                response.status(),
+                response.contentType(),
+                recorded ? Base64.getEncoder().encodeToString(body) : null,
+                body.length);
+    }
+
+    private final class HandOver implements PlainCallListener {
+        private final UpstreamState state;
+
+        HandOver(UpstreamState state) {
+            this.state = state;
+        }
+
+        @Override
+        public void onResponse(PlainResponse response) {
+            state.requestEnded();
+            serial.execute(() -> {
+                live = response;
+                decision.onResult(toRecord(response));
+            });
+        }
+
+        @Override
+        public void onNeverHandedOver(String reason) {
+            state.requestEnded();
+            state.recordFailure(context.clock().nowMillis());
+            serial.execute(() -> {
+                refusedIds.add(state.upstream().id());
+                handOver();
+            });
+        }
+
+        @Override
+        public void onLost(String reason) {
+            state.requestEnded();
+            state.recordFailure(context.clock().nowMillis());
+            serial.execute(() -> decision.onOutcomeUnknown(reason));
+        }
+    }
+}
