Answer claims from the last view while the key-value service is down

Cause: a retry during an outage was told not_run although an earlier attempt with the key may have run. Change: the holder answers known keys from its last view; an unknown key is not_run only if the holder is the sole writer or the key is new, otherwise outcome_unknown. A holder that loses a race gives up its lease of the partition.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLeases.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLeases.java
@@ -84,6 +84,11 @@
         }
     }
 
+    /** Forgets that this router holds a partition, after another router has written it. */
+    public void forget(int partition) {
+        heldVersions.remove(partition);
+    }
+
     /** Gives up all partitions, so that other routers need not wait for the lease to lapse. */
     public synchronized void releaseAll() {
         heldVersions.forEach((partition, version) -> {
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLog.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PartitionLog.java
@@ -1,7 +1,6 @@
 package io.laburnummoor.core.process;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +34,8 @@
     private final Clock wallClock;
     private final Supplier<String> operationIds;
     private @Nullable PartitionView view;
+    private @Nullable PartitionView lastView;
+    private boolean raceLost;
 
     /**
      * Creates a log.
@@ -57,10 +58,13 @@
     }
 
     /**
-     * Commits commands with one write and returns their outcomes in order. Commands whose fate is not known get
-     * {@link ClaimOutcome.Kind#UNAVAILABLE}; their claimants repeat or release them.
+     * Commits commands with one write and returns their outcomes in order. Commands whose fate is not known get an
+     * outcome that {@linkplain ClaimOutcome#isUnavailable() says so}; their claimants repeat or release them.
+     *
+     * @param soleWriter whether no other holder can have written since the last commit or read
      */
-    public List<ClaimOutcome> commit(List<ClaimRecord> commands) {
+    public List<ClaimOutcome> commit(List<ClaimRecord> commands, boolean soleWriter) {
+        raceLost = false;
         try {
             for (int race = 0; race < MAX_RACES; race++) {
                 PartitionView current = currentView();
@@ -79,6 +83,7 @@
                 if (result == WriteResult.UNKNOWN) {
                     break;
                 }
+                raceLost = true;
             }
         } catch (LaburnummoorException unavailable) {
             view = null;
@@ -86,7 +91,37 @@
                 throw unavailable;
             }
         }
-        return Collections.nCopies(commands.size(), ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE));
+        return withoutStore(commands, soleWriter && !raceLost);
+    }
+
+    /** Returns whether another holder wrote before the last commit, so that this one should check its lease. */
+    public boolean isRaceLost() {
+        return raceLost;
+    }
+
+    /**
+     * Answers commands from what was read last, when the key-value service does not answer. Results are final and a
+     * claim can only end, so an old view never makes a used key look new; a key that it does not hold is known to be
+     * new only while no other holder can have written.
+     */
+    public List<ClaimOutcome> withoutStore(List<ClaimRecord> commands, boolean soleWriter) {
+        PartitionView known = lastView;
+        return commands.stream()
+                .map(command -> answerWithoutStore(known, command, soleWriter))
+                .toList();
+    }
+
+    private static ClaimOutcome answerWithoutStore(
+            @Nullable PartitionView known, ClaimRecord command, boolean soleWriter) {
+        if (known == null || command.state() != ClaimState.CLAIMED) {
+            return ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE);
+        }
+        ClaimRules.Decision decision = ClaimRules.decide(known.find(command.id()), command);
+        return switch (decision.outcome().kind()) {
+            case ALREADY_CLAIMED, ALREADY_DONE, KEY_REUSED -> decision.outcome();
+            default -> ClaimOutcome.of(
+                    soleWriter ? ClaimOutcome.Kind.UNAVAILABLE_FIRST_USE : ClaimOutcome.Kind.UNAVAILABLE);
+        };
     }
 
     /** Drops the oldest segment if all its keys have expired; returns whether it did. */
@@ -114,6 +149,7 @@
             PartitionView loaded = PartitionView.load(store, codec, partition, wallClock.nowMillis());
             if (loaded != null) {
                 view = loaded;
+                lastView = loaded;
                 return loaded;
             }
         }
@@ -124,14 +160,15 @@
         Batch batch = new Batch();
         long nowMillis = wallClock.nowMillis();
         for (ClaimRecord command : commands) {
-            if (command.state() == ClaimState.CLAIMED && command.deadlineMillis() <= nowMillis) {
-                batch.outcomes.add(ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE));
-                continue;
-            }
             ClaimRecord last = batch.changed.containsKey(command.id())
                     ? batch.changed.get(command.id())
                     : current.find(command.id());
             ClaimRules.Decision decision = ClaimRules.decide(last, command);
+            if (decision.append() && command.state() == ClaimState.CLAIMED && command.deadlineMillis() <= nowMillis) {
+                batch.outcomes.add(ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE_FIRST_USE));
+                batch.needsVerification = true;
+                continue;
+            }
             batch.outcomes.add(decision.outcome());
             batch.needsVerification |= !decision.append()
                     && decision.outcome().kind() != ClaimOutcome.Kind.ALREADY_DONE
@@ -200,6 +237,7 @@
         }
         // Other holders may have written since, so the view is read anew.
         view = null;
+        lastView = null;
         return WriteResult.WRITTEN;
     }
 
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/ClaimOutcome.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/ClaimOutcome.java
@@ -23,8 +23,15 @@
         RECORDED,
         /** The command contradicts the state of the key and was not recorded. */
         REJECTED,
-        /** It is not known whether the command took or will take effect. */
-        UNAVAILABLE
+        /** It is not known whether the command took or will take effect, nor whether the key was used before. */
+        UNAVAILABLE,
+        /** Like {@link #UNAVAILABLE}, but the holder knows that the key was not claimed before. */
+        UNAVAILABLE_FIRST_USE
+    }
+
+    /** Returns whether the command has to be repeated or released. */
+    public boolean isUnavailable() {
+        return kind == Kind.UNAVAILABLE || kind == Kind.UNAVAILABLE_FIRST_USE;
     }
 
     /** Returns an outcome without a result. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/NonIdempotentCall.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/NonIdempotentCall.java
@@ -8,13 +8,27 @@
  * is told. Events of one call are serialised by its owner.
  */
 public final class NonIdempotentCall {
+    /**
+     * Age up to which a key is taken to be new. Callers make a key for a call and send it at once; a repetition that
+     * finds neither the key-value service nor the holder must not be told "not run" on behalf of an earlier attempt.
+     */
+    static final long FIRST_USE_AGE_MILLIS = 1_000;
+
     private final ClaimRecord claim;
     private final CallEffects effects;
+    private final boolean firstUse;
+    private ErrorCode givenUpCode = ErrorCode.NOT_RUN;
     private Phase phase = Phase.CLAIMING;
 
-    /** Creates the call of a claim that is about to be requested. */
-    public NonIdempotentCall(ClaimRecord claim, CallEffects effects) {
+    /**
+     * Creates the call of a claim that is about to be requested.
+     *
+     * @param keyAgeMillis time since the key's issue; a key younger than {@link #FIRST_USE_AGE_MILLIS} is taken to be
+     *     used for the first time when no holder can tell
+     */
+    public NonIdempotentCall(ClaimRecord claim, long keyAgeMillis, CallEffects effects) {
         this.claim = claim;
+        this.firstUse = keyAgeMillis <= FIRST_USE_AGE_MILLIS;
         this.effects = effects;
     }
 
@@ -34,21 +48,27 @@
                     phase = Phase.HANDING_OVER;
                     effects.handOver();
                 } else {
-                    giveUp("the claim took too long");
+                    giveUp(ErrorCode.NOT_RUN, "the claim took too long");
                 }
             }
             case ALREADY_DONE -> finishWithRecorded(outcome.result());
             case ALREADY_CLAIMED -> fail(
                     ErrorCode.OUTCOME_UNKNOWN, "a call with this key was claimed before and has no recorded result");
             case KEY_REUSED -> fail(ErrorCode.KEY_REUSED, "the key was used before with another request");
-            default -> giveUp("no claim could be made");
+            case UNAVAILABLE_FIRST_USE -> giveUp(ErrorCode.NOT_RUN, "no claim could be made");
+            case UNAVAILABLE -> giveUp(
+                    firstUse ? ErrorCode.NOT_RUN : ErrorCode.OUTCOME_UNKNOWN,
+                    firstUse
+                            ? "no claim could be made"
+                            : "no claim could be made and earlier attempts with this key could not be checked");
+            default -> giveUp(ErrorCode.NOT_RUN, "the claim was rejected");
         }
     }
 
     /** Takes the proof that no byte of the call reached an upstream. */
     public void onNeverHandedOver(String reason) {
         if (phase == Phase.HANDING_OVER) {
-            giveUp(reason);
+            giveUp(ErrorCode.NOT_RUN, reason);
         }
     }
 
@@ -71,11 +91,12 @@
     /** Takes the end of the attempt to release; the claim is released now or will be in the background. */
     public void onReleaseAttempted(String reason) {
         if (phase == Phase.RELEASING) {
-            fail(ErrorCode.NOT_RUN, reason);
+            fail(givenUpCode, reason);
         }
     }
 
-    private void giveUp(String reason) {
+    private void giveUp(ErrorCode code, String reason) {
+        givenUpCode = code;
         phase = Phase.RELEASING;
         effects.release(claim.released(), reason);
     }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ClaimClient.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ClaimClient.java
@@ -127,7 +127,7 @@
     }
 
     private void onRecorded(ClaimRecord command, ClaimOutcome outcome) {
-        if (outcome.kind() == ClaimOutcome.Kind.UNAVAILABLE) {
+        if (outcome.isUnavailable()) {
             return;
         }
         unrecorded.remove(command.nonce());
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/PartitionCommitter.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/PartitionCommitter.java
@@ -54,7 +54,7 @@
         this.leases = leases;
         this.clock = clock;
         for (int i = 0; i < ClaimPolicy.PARTITIONS; i++) {
-            partitions.add(new Partition(logs.apply(i)));
+            partitions.add(new Partition(i, logs.apply(i)));
         }
     }
 
@@ -82,7 +82,7 @@
     @Override
     public Reply commit(int partition, boolean takeOver, List<ClaimRecord> commands) {
         if (clock.nowMillis() < outageUntilMillis.get()) {
-            return new Reply(routerName, unavailable(commands));
+            return new Reply(routerName, withoutStore(partition, commands));
         }
         try {
             String holder = leases.acquire(partition, takeOver);
@@ -91,7 +91,7 @@
             }
         } catch (LaburnummoorException failure) {
             noteOutage(failure);
-            return new Reply(routerName, unavailable(commands));
+            return new Reply(routerName, withoutStore(partition, commands));
         }
         Pending pending = new Pending(commands, new CompletableFuture<>());
         partitions.get(partition).add(pending);
@@ -112,6 +112,16 @@
         outageUntilMillis.set(clock.nowMillis() + OUTAGE_BACKOFF_MILLIS);
     }
 
+    /** Answers on the thread of the partition, because the log serves one thread at a time. */
+    private List<ClaimOutcome> withoutStore(int partition, List<ClaimRecord> commands) {
+        Partition target = partitions.get(partition);
+        Pending pending = new Pending(commands, new CompletableFuture<>());
+        target.addWithoutStore(pending);
+        return pending.outcomes
+                .completeOnTimeout(unavailable(commands), ClaimPolicy.CLAIM_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .join();
+    }
+
     private void renewLease() {
         try {
             leases.renew();
@@ -136,13 +146,16 @@
 
     /** Commands of one partition; at most one task of a partition is scheduled or runs at a time. */
     private final class Partition {
+        private final int number;
         private final PartitionLog log;
         private final Queue<Pending> queue = new ConcurrentLinkedQueue<>();
+        private final Queue<Pending> withoutStore = new ConcurrentLinkedQueue<>();
         private final AtomicBoolean scheduled = new AtomicBoolean();
         private final AtomicBoolean dropRequested = new AtomicBoolean();
         private final CommitRate rate = new CommitRate(ClaimPolicy.COMMIT_INTERVAL_MILLIS, ClaimPolicy.COMMIT_BURST);
 
-        Partition(PartitionLog log) {
+        Partition(int number, PartitionLog log) {
+            this.number = number;
             this.log = log;
         }
 
@@ -151,6 +164,11 @@
             schedule();
         }
 
+        void addWithoutStore(Pending pending) {
+            withoutStore.add(pending);
+            schedule();
+        }
+
         void dropOldest() {
             dropRequested.set(true);
             schedule();
@@ -164,6 +182,11 @@
 
         private void run() {
             try {
+                Pending unsent = withoutStore.poll();
+                while (unsent != null) {
+                    unsent.outcomes.complete(log.withoutStore(unsent.commands, leases.isHeld(number)));
+                    unsent = withoutStore.poll();
+                }
                 if (!queue.isEmpty()) {
                     commitOnce();
                 }
@@ -174,7 +197,7 @@
                 LOGGER.warnf("claim partition was not written: %s", failure);
             } finally {
                 scheduled.set(false);
-                if (!queue.isEmpty() || dropRequested.get()) {
+                if (!queue.isEmpty() || !withoutStore.isEmpty() || dropRequested.get()) {
                     schedule();
                 }
             }
@@ -194,7 +217,10 @@
             rate.take(clock.nowMillis());
             List<ClaimOutcome> outcomes;
             try {
-                outcomes = log.commit(commands);
+                outcomes = log.commit(commands, leases.isHeld(number));
+                if (log.isRaceLost()) {
+                    leases.forget(number);
+                }
             } catch (RuntimeException failure) {
                 taken.forEach(each -> each.outcomes.completeExceptionally(failure));
                 throw failure;
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/PlainCalls.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/PlainCalls.java
@@ -7,6 +7,7 @@
 import io.laburnummoor.core.ErrorCode;
 import io.laburnummoor.core.LaburnummoorException;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.request.IdempotencyKey;
 import io.laburnummoor.router.request.CallAnswer;
 import io.laburnummoor.router.request.CallContext;
 import io.laburnummoor.router.request.IdempotentCallSession;
@@ -46,7 +47,8 @@
         if (idempotent) {
             new IdempotentCallSession(call, context, answer).start();
         } else {
-            new NonIdempotentCallSession(call, context, answer).start();
+            long issuedAtMillis = IdempotencyKey.parse(call.id().key()).issuedAtMillis();
+            new NonIdempotentCallSession(call, issuedAtMillis, context, answer).start();
         }
     }
 
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
@@ -39,7 +39,7 @@
     private @Nullable PlainResponse live;
 
     /** Creates a session with a new claim. */
-    public NonIdempotentCallSession(PlainCall call, CallContext context, CallAnswer answer) {
+    public NonIdempotentCallSession(PlainCall call, long keyIssuedAtMillis, CallContext context, CallAnswer answer) {
         this.call = call;
         this.context = context;
         this.answer = answer;
@@ -55,6 +55,7 @@
                         call.bodyDigest(),
                         context.wallClock().nowMillis() + claimMillis,
                         null),
+                context.wallClock().nowMillis() - keyIssuedAtMillis,
                 this);
     }
 
--- a/laburnummoor-wire/src/main/thrift/claims.thrift
+++ b/laburnummoor-wire/src/main/thrift/claims.thrift
@@ -13,6 +13,7 @@
   RECORDED = 4
   REJECTED = 5
   UNAVAILABLE = 6
+  UNAVAILABLE_FIRST_USE = 7
 }
 
 struct ClaimResult {
