Fuzz the claim logic against an oracle that counts runs

Cause: two fuzz findings: an attempt that waited while the caller retried elsewhere was told not_run although the other attempt had run (script: two calls of one key through different holders, the first one's reply lost). Change: the claimant releases its claim before it answers, and the release is answered with the other claim if there is one. Fixed seeds in the normal run, bin/fuzz-claims for longer runs. Conclusion: not_run is decided by a durable release whenever the key-value service answers.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/CallEffects.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/CallEffects.java
@@ -10,7 +10,7 @@
     /** Hands the call to an upstream; called at most once. */
     void handOver();
 
-    /** Releases the claim, then calls {@link NonIdempotentCall#onReleaseAttempted}; keeps trying in the background. */
+    /** Releases the claim, then calls {@link NonIdempotentCall#onReleaseOutcome}; keeps trying in the background. */
     void release(ClaimRecord released, String reason);
 
     /** Records the result; keeps trying in the background. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/ClaimRules.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/ClaimRules.java
@@ -35,12 +35,7 @@
         if (own) {
             return keep(current.state() == ClaimState.CLAIMED ? ClaimOutcome.Kind.GRANTED : ClaimOutcome.Kind.REJECTED);
         }
-        if (!current.bodyDigest().equals(command.bodyDigest())) {
-            return keep(ClaimOutcome.Kind.KEY_REUSED);
-        }
-        return current.state() == ClaimState.DONE
-                ? new Decision(new ClaimOutcome(ClaimOutcome.Kind.ALREADY_DONE, current.result()), false)
-                : keep(ClaimOutcome.Kind.ALREADY_CLAIMED);
+        return answerFromOther(current, command);
     }
 
     private static Decision decideDone(@Nullable ClaimRecord current, ClaimRecord command) {
@@ -60,11 +55,25 @@
             return append(ClaimOutcome.Kind.RECORDED);
         }
         boolean own = current.nonce().equals(command.nonce());
-        return switch (current.state()) {
-            case CLAIMED -> own ? append(ClaimOutcome.Kind.RECORDED) : keep(ClaimOutcome.Kind.RECORDED);
-            case DONE -> keep(own ? ClaimOutcome.Kind.REJECTED : ClaimOutcome.Kind.RECORDED);
-            case RELEASED -> own ? keep(ClaimOutcome.Kind.RECORDED) : append(ClaimOutcome.Kind.RECORDED);
-        };
+        if (current.state() == ClaimState.RELEASED) {
+            return own ? keep(ClaimOutcome.Kind.RECORDED) : append(ClaimOutcome.Kind.RECORDED);
+        }
+        if (own) {
+            return current.state() == ClaimState.CLAIMED
+                    ? append(ClaimOutcome.Kind.RECORDED)
+                    : keep(ClaimOutcome.Kind.REJECTED);
+        }
+        // The claim never took effect, but another one did: the claimant must not say that the key was not run.
+        return answerFromOther(current, command);
+    }
+
+    private static Decision answerFromOther(ClaimRecord current, ClaimRecord command) {
+        if (!current.bodyDigest().equals(command.bodyDigest())) {
+            return keep(ClaimOutcome.Kind.KEY_REUSED);
+        }
+        return current.state() == ClaimState.DONE
+                ? new Decision(new ClaimOutcome(ClaimOutcome.Kind.ALREADY_DONE, current.result()), false)
+                : keep(ClaimOutcome.Kind.ALREADY_CLAIMED);
     }
 
     private static Decision append(ClaimOutcome.Kind kind) {
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/NonIdempotentCall.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/NonIdempotentCall.java
@@ -51,10 +51,7 @@
                     giveUp(ErrorCode.NOT_RUN, "the claim took too long");
                 }
             }
-            case ALREADY_DONE -> finishWithRecorded(outcome.result());
-            case ALREADY_CLAIMED -> fail(
-                    ErrorCode.OUTCOME_UNKNOWN, "a call with this key was claimed before and has no recorded result");
-            case KEY_REUSED -> fail(ErrorCode.KEY_REUSED, "the key was used before with another request");
+            case ALREADY_DONE, ALREADY_CLAIMED, KEY_REUSED -> answerFromEarlier(outcome);
             case UNAVAILABLE_FIRST_USE -> giveUp(ErrorCode.NOT_RUN, "no claim could be made");
             case UNAVAILABLE -> giveUp(
                     firstUse ? ErrorCode.NOT_RUN : ErrorCode.OUTCOME_UNKNOWN,
@@ -88,10 +85,18 @@
         }
     }
 
-    /** Takes the end of the attempt to release; the claim is released now or will be in the background. */
-    public void onReleaseAttempted(String reason) {
-        if (phase == Phase.RELEASING) {
-            fail(givenUpCode, reason);
+    /**
+     * Takes the answer to the release. An unavailable one means that the claim will be released in the background; the
+     * caller is then told what was known when the claim was given up.
+     */
+    public void onReleaseOutcome(ClaimOutcome outcome, String reason) {
+        if (phase != Phase.RELEASING) {
+            return;
+        }
+        switch (outcome.kind()) {
+            case RECORDED -> fail(ErrorCode.NOT_RUN, reason);
+            case ALREADY_DONE, ALREADY_CLAIMED, KEY_REUSED -> answerFromEarlier(outcome);
+            default -> fail(givenUpCode, reason);
         }
     }
 
@@ -101,6 +106,15 @@
         effects.release(claim.released(), reason);
     }
 
+    private void answerFromEarlier(ClaimOutcome outcome) {
+        switch (outcome.kind()) {
+            case ALREADY_DONE -> finishWithRecorded(outcome.result());
+            case KEY_REUSED -> fail(ErrorCode.KEY_REUSED, "the key was used before with another request");
+            default -> fail(
+                    ErrorCode.OUTCOME_UNKNOWN, "a call with this key was claimed before and has no recorded result");
+        }
+    }
+
     private void finishWithRecorded(@Nullable RecordedResult result) {
         if (result == null || result.bodyBase64() == null) {
             fail(
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/ClaimFuzzTest.java
@@ -0,0 +1,82 @@
+package io.laburnummoor.core.process;
+
+import java.util.List;
+import java.util.Random;
+
+import io.laburnummoor.core.process.ClaimWorld.Action;
+import io.laburnummoor.core.process.ClaimWorld.Step;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.RandomGenerator;
+import net.jqwik.api.Tuple;
+
+/** Guards against second runs, false "not run" and wrong results under any order of failures. */
+final class ClaimFuzzTest {
+    private static final int MAX_STEPS = 120;
+    private static final int GEN_SIZE = 1_000;
+
+    @Property(seed = "20261204", tries = 1_500)
+    void promisesHoldWithFixedSeed(@ForAll("scripts") List<Step> script) {
+        run(script);
+    }
+
+    /** Runs as many scripts as {@code bin/fuzz-claims} asks for; one script in the normal run. */
+    @Property(tries = 1, seed = "1")
+    void promisesHoldWithGivenSeed() {
+        long seed = Long.getLong("fuzz.seed", 1);
+        int tries = Integer.getInteger("fuzz.tries", 1);
+        RandomGenerator<List<Step>> generator = scripts().generator(GEN_SIZE, false);
+        Random random = new Random(seed);
+        for (int i = 0; i < tries; i++) {
+            List<Step> script = generator.next(random).value();
+            try {
+                run(script);
+            } catch (RuntimeException | AssertionError failure) {
+                throw new AssertionError("seed " + seed + ", script " + i + ": " + script, failure);
+            }
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Step>> scripts() {
+        Arbitrary<Action> actions = Arbitraries.frequency(
+                Tuple.of(6, Action.CALL),
+                Tuple.of(8, Action.COMMIT),
+                Tuple.of(2, Action.COMMIT_AGAIN),
+                Tuple.of(1, Action.LOSE_REPLY),
+                Tuple.of(2, Action.RESEND),
+                Tuple.of(3, Action.RUN_AND_ANSWER),
+                Tuple.of(2, Action.RUN_AND_LOSE),
+                Tuple.of(1, Action.LOSE_WITHOUT_RUN),
+                Tuple.of(2, Action.REFUSE),
+                Tuple.of(1, Action.CRASH_CLAIMANT),
+                Tuple.of(1, Action.RESTART_HOLDER),
+                Tuple.of(2, Action.PAUSE_HOLDER),
+                Tuple.of(4, Action.SEND_RECORDS),
+                Tuple.of(2, Action.ANSWER_LOST),
+                Tuple.of(1, Action.WRITE_LOST),
+                Tuple.of(2, Action.WRITE_DELAYED),
+                Tuple.of(2, Action.DELIVER_DELAYED),
+                Tuple.of(1, Action.OUTAGE),
+                Tuple.of(2, Action.OUTAGE_END),
+                Tuple.of(1, Action.SHORT_TIME),
+                Tuple.of(1, Action.LONG_TIME),
+                Tuple.of(1, Action.RETENTION_TIME),
+                Tuple.of(1, Action.DROP_OLDEST));
+        Arbitrary<Integer> numbers = Arbitraries.integers().between(0, 11);
+        return Combinators.combine(actions, numbers, numbers)
+                .as(Step::new)
+                .list()
+                .ofMinSize(MAX_STEPS / 4)
+                .ofMaxSize(MAX_STEPS);
+    }
+
+    private static void run(List<Step> script) {
+        ClaimWorld world = new ClaimWorld();
+        script.forEach(world::apply);
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/ClaimWorld.java
@@ -0,0 +1,296 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.process.FaultyStore.WriteFault;
+import io.laburnummoor.core.request.CallEffects;
+import io.laburnummoor.core.request.ClaimOutcome;
+import io.laburnummoor.core.request.ClaimRecord;
+import io.laburnummoor.core.request.ClaimState;
+import io.laburnummoor.core.request.NonIdempotentCall;
+import io.laburnummoor.core.request.RecordedResult;
+import io.laburnummoor.core.request.RequestId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Two holders of one partition, several claimants and a faulty store, driven by steps. The oracle counts the runs of
+ * each key and throws when a promise is broken.
+ */
+final class ClaimWorld {
+    enum Action {
+        CALL,
+        COMMIT,
+        COMMIT_AGAIN,
+        LOSE_REPLY,
+        RESEND,
+        RUN_AND_ANSWER,
+        RUN_AND_LOSE,
+        LOSE_WITHOUT_RUN,
+        REFUSE,
+        CRASH_CLAIMANT,
+        RESTART_HOLDER,
+        PAUSE_HOLDER,
+        SEND_RECORDS,
+        ANSWER_LOST,
+        WRITE_LOST,
+        WRITE_DELAYED,
+        DELIVER_DELAYED,
+        OUTAGE,
+        OUTAGE_END,
+        SHORT_TIME,
+        LONG_TIME,
+        RETENTION_TIME,
+        DROP_OLDEST
+    }
+
+    record Step(Action action, int first, int second) {}
+
+    private static final int HOLDERS = 2;
+    private static final int CLAIMANTS = 3;
+    private static final int KEYS = 3;
+    private static final long RETENTION_MILLIS = 3_600_000;
+    private static final long OLD_KEY_MILLIS = 10_000;
+    private static final ClaimPolicy POLICY = new ClaimPolicy(RETENTION_MILLIS, 400);
+
+    private final FaultyStore store = new FaultyStore();
+    private final SegmentCodec codec = new MemorySegmentCodec();
+    private final PartitionLog[] holders = new PartitionLog[HOLDERS];
+    private final List<List<Sent>> inboxes = List.of(new ArrayList<>(), new ArrayList<>());
+    private final List<Call> calls = new ArrayList<>();
+    private final Map<String, Integer> runs = new HashMap<>();
+    private final Map<String, RecordedResult> results = new HashMap<>();
+    private final Map<String, Integer> attempts = new HashMap<>();
+    private final long[] keyIssuedAtMillis = new long[KEYS];
+    private long nowMillis = 1_000_000;
+    private int nextId;
+    private int lastWriter = -1;
+
+    ClaimWorld() {
+        for (int i = 0; i < HOLDERS; i++) {
+            holders[i] = newHolder();
+        }
+        java.util.Arrays.fill(keyIssuedAtMillis, nowMillis);
+    }
+
+    void apply(Step step) {
+        int holder = step.first % HOLDERS;
+        switch (step.action) {
+            case CALL -> call(step.first % CLAIMANTS, step.second % KEYS, step.second % HOLDERS);
+            case COMMIT, COMMIT_AGAIN -> commit(holder);
+            case LOSE_REPLY -> inboxes.get(holder).forEach(sent -> sent.replyLost = true);
+            case RESEND -> eachCall(
+                    step.second, Phase.CLAIMING, call -> send(holder, call.claim, call::onClaimOutcome));
+            case RUN_AND_ANSWER -> eachCall(step.second, Phase.HANDED_OVER, call -> call.onRun(true));
+            case RUN_AND_LOSE -> eachCall(step.second, Phase.HANDED_OVER, call -> call.onRun(false));
+            case LOSE_WITHOUT_RUN -> eachCall(step.second, Phase.HANDED_OVER, Call::onLost);
+            case REFUSE -> eachCall(step.second, Phase.HANDED_OVER, Call::onRefused);
+            case CRASH_CLAIMANT -> calls.removeIf(call -> call.claimant == step.first % CLAIMANTS);
+            case RESTART_HOLDER -> {
+                lastWriter = -1;
+                holders[holder] = newHolder();
+            }
+            case PAUSE_HOLDER -> store.pauseNextWrite(() -> commit(1 - holder));
+            case SEND_RECORDS -> calls.forEach(call -> call.sendUnrecorded(holder));
+            case ANSWER_LOST -> store.addFault(WriteFault.ANSWER_LOST);
+            case WRITE_LOST -> store.addFault(WriteFault.WRITE_LOST);
+            case WRITE_DELAYED -> store.addFault(WriteFault.WRITE_DELAYED);
+            case DELIVER_DELAYED -> {
+                lastWriter = -1;
+                store.deliverDelayedWrite();
+            }
+            case OUTAGE -> store.setDown(true);
+            case OUTAGE_END -> store.setDown(false);
+            case SHORT_TIME -> nowMillis += 2_000;
+            case LONG_TIME -> nowMillis += ClaimPolicy.VIEW_MAX_AGE_MILLIS + 1;
+            case RETENTION_TIME -> nowMillis += RETENTION_MILLIS;
+            case DROP_OLDEST -> dropOldest(holder);
+            default -> throw new AssertionError(step.action);
+        }
+    }
+
+    private PartitionLog newHolder() {
+        return new PartitionLog(0, store, codec, POLICY, () -> nowMillis, () -> "op-" + nextId++);
+    }
+
+    private void call(int claimant, int key, int holder) {
+        if (keyIssuedAtMillis[key] + RETENTION_MILLIS <= nowMillis) {
+            keyIssuedAtMillis[key] = nowMillis;
+        }
+        Call call = new Call(claimant, "key-" + key + "-" + keyIssuedAtMillis[key]);
+        calls.add(call);
+        send(holder, call.claim, call::onClaimOutcome);
+    }
+
+    private void send(int holder, ClaimRecord command, Consumer<ClaimOutcome> onOutcome) {
+        inboxes.get(holder).add(new Sent(command, onOutcome));
+    }
+
+    private void commit(int holder) {
+        List<Sent> batch = new ArrayList<>(inboxes.get(holder));
+        inboxes.get(holder).clear();
+        boolean soleWriter = lastWriter == holder;
+        long revisionBefore = store.revision();
+        List<ClaimOutcome> outcomes =
+                holders[holder].commit(batch.stream().map(sent -> sent.command).toList(), soleWriter);
+        if (store.revision() != revisionBefore) {
+            lastWriter = holder;
+        }
+        for (int i = 0; i < batch.size(); i++) {
+            batch.get(i)
+                    .onOutcome
+                    .accept(batch.get(i).replyLost ? ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE) : outcomes.get(i));
+        }
+    }
+
+    private void dropOldest(int holder) {
+        try {
+            holders[holder].dropOldest();
+        } catch (LaburnummoorException unavailable) {
+            if (unavailable.errorCode() != ErrorCode.STORE_UNAVAILABLE) {
+                throw unavailable;
+            }
+        }
+    }
+
+    private void eachCall(int number, Phase phase, Consumer<Call> action) {
+        List<Call> matching = calls.stream().filter(call -> call.phase == phase).toList();
+        if (!matching.isEmpty()) {
+            action.accept(matching.get(number % matching.size()));
+        }
+    }
+
+    private enum Phase {
+        CLAIMING,
+        HANDED_OVER,
+        RELEASING,
+        ENDED
+    }
+
+    private static final class Sent {
+        private final ClaimRecord command;
+        private final Consumer<ClaimOutcome> onOutcome;
+        private boolean replyLost;
+
+        Sent(ClaimRecord command, Consumer<ClaimOutcome> onOutcome) {
+            this.command = command;
+            this.onOutcome = onOutcome;
+        }
+    }
+
+    private final class Call implements CallEffects {
+        private final int claimant;
+        private final int attempt;
+        private final ClaimRecord claim;
+        private final NonIdempotentCall decision;
+        private @Nullable ClaimRecord unrecorded;
+        private Phase phase = Phase.CLAIMING;
+
+        Call(int claimant, String key) {
+            this.claimant = claimant;
+            this.claim = new ClaimRecord(
+                    ClaimState.CLAIMED,
+                    new RequestId("office", key),
+                    "nonce-" + nextId++,
+                    "router-" + claimant,
+                    "digest",
+                    nowMillis + ClaimPolicy.CLAIM_TIMEOUT_MILLIS,
+                    null);
+            this.attempt = attempts.merge(key, 1, Integer::sum);
+            long ageMillis = attempt == 1 ? 0 : OLD_KEY_MILLIS;
+            this.decision = new NonIdempotentCall(claim, ageMillis, this);
+        }
+
+        void onClaimOutcome(ClaimOutcome outcome) {
+            if (calls.contains(this)) {
+                decision.onClaimOutcome(outcome, nowMillis);
+            }
+        }
+
+        void onRun(boolean answered) {
+            RecordedResult result = new RecordedResult(200, "", "run-" + claim.nonce(), 0);
+            if (runs.merge(claim.id().key(), 1, Integer::sum) > 1) {
+                throw new AssertionError(claim.id() + " ran more than once");
+            }
+            results.put(claim.id().key(), result);
+            if (answered) {
+                decision.onResult(result);
+            } else {
+                onLost();
+            }
+            phase = Phase.ENDED;
+        }
+
+        void onLost() {
+            decision.onOutcomeUnknown("lost");
+        }
+
+        void onRefused() {
+            decision.onNeverHandedOver("refused");
+        }
+
+        void sendUnrecorded(int holder) {
+            ClaimRecord command = unrecorded;
+            if (command != null) {
+                send(holder, command, outcome -> {
+                    if (command.state() == ClaimState.RELEASED && calls.contains(this)) {
+                        decision.onReleaseOutcome(outcome, "released");
+                    }
+                    if (!outcome.isUnavailable()) {
+                        unrecorded = null;
+                    }
+                    if (command.state() == ClaimState.DONE && outcome.kind() == ClaimOutcome.Kind.REJECTED) {
+                        throw new AssertionError("result of " + command.id() + " was rejected");
+                    }
+                });
+            }
+        }
+
+        @Override
+        public void claim(ClaimRecord requested) {}
+
+        @Override
+        public void handOver() {
+            phase = Phase.HANDED_OVER;
+        }
+
+        @Override
+        public void release(ClaimRecord released, String reason) {
+            unrecorded = released;
+            phase = Phase.RELEASING;
+        }
+
+        @Override
+        public void record(ClaimRecord done) {
+            unrecorded = done;
+        }
+
+        @Override
+        public void answerLive() {}
+
+        @Override
+        public void answerRecorded(RecordedResult result) {
+            phase = Phase.ENDED;
+            if (!result.equals(results.get(claim.id().key()))) {
+                throw new AssertionError("wrong result for " + claim.id() + ": " + result);
+            }
+        }
+
+        @Override
+        public void fail(ErrorCode code, String detail) {
+            phase = Phase.ENDED;
+            // Of two attempts the caller waits only for the later one, so the earlier one's answer is not heard.
+            boolean heard = attempts.getOrDefault(claim.id().key(), 0) == attempt;
+            if (code == ErrorCode.NOT_RUN
+                    && heard
+                    && runs.containsKey(claim.id().key())) {
+                throw new AssertionError("false not_run for " + claim.id() + ": " + detail);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/FaultyStore.java
@@ -0,0 +1,120 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.LaburnummoorException;
+import org.jspecify.annotations.Nullable;
+
+/** A key-value store in memory whose writes can fail before, after, or long before they take effect. */
+final class FaultyStore implements KeyValueStore {
+    enum WriteFault {
+        ANSWER_LOST,
+        WRITE_LOST,
+        WRITE_DELAYED
+    }
+
+    private final Map<String, VersionedValue> values = new HashMap<>();
+    private final Deque<WriteFault> faults = new ArrayDeque<>();
+    private final Deque<Runnable> delayedWrites = new ArrayDeque<>();
+    private long revision;
+    private boolean down;
+    private @Nullable Runnable beforeNextWrite;
+
+    void setDown(boolean isDown) {
+        down = isDown;
+    }
+
+    /** Returns a number that grows with each write. */
+    long revision() {
+        return revision;
+    }
+
+    void addFault(WriteFault fault) {
+        faults.add(fault);
+    }
+
+    /** Runs an action between a holder's read and its next write, as if the holder were paused there. */
+    void pauseNextWrite(Runnable meanwhile) {
+        beforeNextWrite = meanwhile;
+    }
+
+    void deliverDelayedWrite() {
+        Runnable write = delayedWrites.poll();
+        if (write != null) {
+            write.run();
+        }
+    }
+
+    @Override
+    public @Nullable VersionedValue get(String key) {
+        throwIfDown();
+        return values.get(key);
+    }
+
+    @Override
+    public long compareAndSwap(String key, long expectedVersion, String value, long leaseId) {
+        Runnable meanwhile = beforeNextWrite;
+        beforeNextWrite = null;
+        if (meanwhile != null) {
+            meanwhile.run();
+        }
+        throwIfDown();
+        WriteFault fault = faults.poll();
+        if (fault == WriteFault.WRITE_DELAYED) {
+            delayedWrites.add(() -> write(key, expectedVersion, value));
+        }
+        if (fault == WriteFault.WRITE_DELAYED || fault == WriteFault.WRITE_LOST) {
+            throw unavailable();
+        }
+        long version = write(key, expectedVersion, value);
+        if (fault == WriteFault.ANSWER_LOST) {
+            throw unavailable();
+        }
+        return version;
+    }
+
+    @Override
+    public boolean delete(String key, long expectedVersion) {
+        throwIfDown();
+        VersionedValue stored = values.get(key);
+        return stored != null && stored.version() == expectedVersion && values.remove(key) != null;
+    }
+
+    @Override
+    public long grantLease(long timeToLiveSeconds) {
+        return 1;
+    }
+
+    @Override
+    public boolean keepLeaseAlive(long leaseId) {
+        return true;
+    }
+
+    @Override
+    public @Nullable VersionedValue watch(String key, long knownVersion, long timeoutMillis) {
+        return get(key);
+    }
+
+    private long write(String key, long expectedVersion, String value) {
+        VersionedValue stored = values.get(key);
+        if ((stored == null ? ABSENT : stored.version()) != expectedVersion) {
+            return ABSENT;
+        }
+        values.put(key, new VersionedValue(value, ++revision));
+        return revision;
+    }
+
+    private void throwIfDown() {
+        if (down) {
+            throw unavailable();
+        }
+    }
+
+    private static LaburnummoorException unavailable() {
+        return new LaburnummoorException(ErrorCode.STORE_UNAVAILABLE, "injected");
+    }
+}
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ClaimClient.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ClaimClient.java
@@ -60,10 +60,10 @@
      *
      * @param onFirstAnswer called when the first attempt has ended, also without success
      */
-    public void record(ClaimRecord command, Runnable onFirstAnswer) {
+    public void record(ClaimRecord command, Consumer<ClaimOutcome> onFirstAnswer) {
         if (unrecorded.size() >= MAX_UNRECORDED) {
             LOGGER.warnf("too many results wait for the key-value service, key %s stays claimed", command.id());
-            onFirstAnswer.run();
+            onFirstAnswer.accept(ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE));
             return;
         }
         Unrecorded entry = new Unrecorded(command, new AtomicBoolean());
@@ -99,12 +99,12 @@
         channels.forEach(ClaimChannel::close);
     }
 
-    private void sendRecording(Unrecorded entry, Runnable onAnswer) {
+    private void sendRecording(Unrecorded entry, Consumer<ClaimOutcome> onAnswer) {
         if (entry.inFlight.compareAndSet(false, true)) {
             send(entry.command, outcome -> {
                 entry.inFlight.set(false);
                 onRecorded(entry.command, outcome);
-                onAnswer.run();
+                onAnswer.accept(outcome);
             });
         }
     }
@@ -123,7 +123,7 @@
     }
 
     private void repeatUnrecorded() {
-        unrecorded.values().forEach(entry -> sendRecording(entry, () -> {}));
+        unrecorded.values().forEach(entry -> sendRecording(entry, outcome -> {}));
     }
 
     private void onRecorded(ClaimRecord command, ClaimOutcome outcome) {
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
@@ -96,14 +96,18 @@
 
     @Override
     public void release(ClaimRecord released, String reason) {
-        Runnable attempted = () -> serial.execute(() -> decision.onReleaseAttempted(reason));
-        context.claims().record(released, attempted);
-        context.timer().schedule(attempted, RELEASE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        context.claims().record(released, outcome -> serial.execute(() -> decision.onReleaseOutcome(outcome, reason)));
+        ClaimOutcome timedOut = ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE);
+        context.timer()
+                .schedule(
+                        () -> serial.execute(() -> decision.onReleaseOutcome(timedOut, reason)),
+                        RELEASE_WAIT_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void record(ClaimRecord done) {
-        context.claims().record(done, () -> {});
+        context.claims().record(done, outcome -> {});
     }
 
     @Override
