--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -2,11 +2,14 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
 
 import com.google.inject.Guice;
 import com.google.inject.Injector;
@@ -22,11 +25,14 @@
 import io.laburnummoor.core.version.OrganisationDeclaration;
 import io.laburnummoor.core.version.ServiceDeclaration;
 import io.laburnummoor.router.process.ReadinessCheck;
+import io.laburnummoor.router.process.RouterHttpServer;
 import io.laburnummoor.router.process.RouterModule;
 import io.laburnummoor.router.process.RouterSettings;
 import io.laburnummoor.router.version.ConfigFollower;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JsonHttp;
+import io.laburnummoor.wire.process.ThriftServer;
+import io.laburnummoor.wire.request.PlainServiceClient;
 import io.laburnummoor.wire.version.ConfigCodec;
 import org.apache.commons.codec.digest.DigestUtils;
 
@@ -50,6 +56,11 @@
     private static final int PLATFORM_TIMEOUT_MILLIS = 2_000;
     private static final long READY_TIMEOUT_MILLIS = 20_000;
     private static final long READY_POLL_MILLIS = 20;
+    /** A port of the system's own range was at times taken by an outgoing connection before its server started. */
+    private static final int FIRST_PORT = 12_000;
+
+    private static final int LAST_PORT = 32_000;
+    private static final int PORT_TRIES = 1_000;
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int JOURNAL_MAX_BYTES = 32 << 20;
     private static final long JOURNAL_RETENTION_MILLIS = 600_000;
@@ -57,27 +68,48 @@
     private final PlatformStandIn platform = new PlatformStandIn(HOST, 0);
     private final List<EngineNode> engines = new ArrayList<>();
     private final List<RouterNode> routers = new ArrayList<>();
+    private final List<PlainServiceNode> plainServices = new ArrayList<>();
+    private final RunLedger ledger = new RunLedger();
 
     /** Creates a deployment with the same number of engines and routers in each failure domain. */
     public LocalDeployment(
             List<String> failureDomains, int enginesPerDomain, int routersPerDomain, EngineSettings engineSettings) {
+        this(failureDomains, enginesPerDomain, routersPerDomain, engineSettings, 0, 0);
+    }
+
+    /** Creates a deployment with plain services and routers that drain when they stop. */
+    public LocalDeployment(
+            List<String> failureDomains,
+            int enginesPerDomain,
+            int routersPerDomain,
+            EngineSettings engineSettings,
+            int plainServicesPerDomain,
+            long drainMillis) {
         for (String domain : failureDomains) {
             for (int i = 1; i <= enginesPerDomain; i++) {
                 addEngine("drafter-" + domain + "-" + i, domain, engineSettings);
             }
             for (int i = 1; i <= routersPerDomain; i++) {
-                addRouter("router-" + domain + "-" + i, domain);
+                addRouter("router-" + domain + "-" + i, domain, drainMillis);
+            }
+            for (int i = 1; i <= plainServicesPerDomain; i++) {
+                plainServices.add(
+                        new PlainServiceNode(PlainServiceNode.SERVICE + "-" + domain + "-" + i, domain, HOST, ledger));
             }
         }
     }
 
     /** Starts all parts and waits until each router is ready. */
     public void start() throws InterruptedException {
-        platform.setVms(engines.stream().map(EngineNode::upstream).toList());
+        platform.setVms(Stream.concat(
+                        engines.stream().map(EngineNode::upstream),
+                        plainServices.stream().map(PlainServiceNode::upstream))
+                .toList());
         platform.setRouters(routers.stream().map(RouterNode::peer).toList());
         platform.start();
         applyConfig();
         engines.forEach(EngineNode::start);
+        plainServices.forEach(PlainServiceNode::start);
         for (RouterNode router : routers) {
             router.start();
         }
@@ -94,6 +126,16 @@
         return engines;
     }
 
+    /** Returns the plain services. */
+    public List<PlainServiceNode> plainServices() {
+        return plainServices;
+    }
+
+    /** Returns the count of runs of all plain services. */
+    public RunLedger ledger() {
+        return ledger;
+    }
+
     /** Returns the routers. */
     public List<RouterNode> routers() {
         return routers;
@@ -108,6 +150,7 @@
     public void close() {
         routers.forEach(RouterNode::stop);
         engines.forEach(EngineNode::stop);
+        plainServices.forEach(PlainServiceNode::stop);
         platform.stop();
     }
 
@@ -120,7 +163,7 @@
         engines.add(new EngineNode(id, domain, own));
     }
 
-    private void addRouter(String name, String domain) {
+    private void addRouter(String name, String domain, long drainMillis) {
         routers.add(new RouterNode(new RouterSettings(
                 name,
                 domain,
@@ -131,15 +174,17 @@
                 platformAddress(""),
                 platformAddress("/vms"),
                 MAX_BODY_BYTES,
-                0,
+                drainMillis,
                 "WARN")));
     }
 
     private void applyConfig() {
         ServiceDeclaration service = new ServiceDeclaration(SERVICE, ServiceDeclaration.Kind.ENGINE, "", List.of());
+        ServiceDeclaration plain = new ServiceDeclaration(
+                PlainServiceNode.SERVICE, ServiceDeclaration.Kind.PLAIN, "", List.of("/parts", "/schedules"));
         OrganisationDeclaration organisation =
                 new OrganisationDeclaration("office", List.of(DigestUtils.sha256Hex(CALLER_KEY)), 100_000, 100_000_000);
-        ConfigSet set = new ConfigSet(1, List.of(service), List.of(organisation));
+        ConfigSet set = new ConfigSet(1, List.of(service, plain), List.of(organisation));
         keyValueStore().compareAndSwap(ConfigFollower.CONFIG_KEY, KeyValueStore.ABSENT, new ConfigCodec().encode(set));
     }
 
@@ -157,12 +202,19 @@
         return URI.create("http://" + HOST + ":" + platform.port() + path);
     }
 
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
-        } catch (IOException cause) {
-            throw new UncheckedIOException(cause);
+    /** Returns a free port below the range from which the system takes the ports of outgoing connections. */
+    static int freePort() {
+        for (int i = 0; i < PORT_TRIES; i++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                return socket.getLocalPort();
+            } catch (BindException taken) {
+                continue;
+            } catch (IOException cause) {
+                throw new UncheckedIOException(cause);
+            }
         }
+        throw new IllegalStateException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
     }
 
     /** An engine and the agent beside it. */
@@ -265,6 +317,13 @@
             }
         }
 
+        /** Cuts the router off from callers, upstreams and other routers, as the death of its process does. */
+        public void cutOff() {
+            injector.getInstance(PlainServiceClient.class).stop();
+            injector.getInstance(ThriftServer.class).stop();
+            injector.getInstance(RouterHttpServer.class).stop();
+        }
+
         private boolean isReady() {
             return injector.getInstance(ReadinessCheck.class).isReady();
         }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ServicesResource.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ServicesResource.java
@@ -1,7 +1,6 @@
 package io.laburnummoor.router.process;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -72,47 +71,47 @@
 
     /** Forwards a GET call. */
     @GET
-    public void get(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
-        forward(response, request, body);
+    public void get(@Suspended AsyncResponse response, @Context HttpServletRequest request) {
+        forward(response, request);
     }
 
     /** Forwards a HEAD call. */
     @HEAD
-    public void head(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
-        forward(response, request, body);
+    public void head(@Suspended AsyncResponse response, @Context HttpServletRequest request) {
+        forward(response, request);
     }
 
     /** Forwards an OPTIONS call. */
     @OPTIONS
-    public void options(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
-        forward(response, request, body);
+    public void options(@Suspended AsyncResponse response, @Context HttpServletRequest request) {
+        forward(response, request);
     }
 
     /** Forwards a POST call. */
     @POST
-    public void post(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
-        forward(response, request, body);
+    public void post(@Suspended AsyncResponse response, @Context HttpServletRequest request) {
+        forward(response, request);
     }
 
     /** Forwards a PUT call. */
     @PUT
-    public void put(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
-        forward(response, request, body);
+    public void put(@Suspended AsyncResponse response, @Context HttpServletRequest request) {
+        forward(response, request);
     }
 
     /** Forwards a PATCH call. */
     @PATCH
-    public void patch(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
-        forward(response, request, body);
+    public void patch(@Suspended AsyncResponse response, @Context HttpServletRequest request) {
+        forward(response, request);
     }
 
     /** Forwards a DELETE call. */
     @DELETE
-    public void delete(@Suspended AsyncResponse response, @Context HttpServletRequest request, InputStream body) {
-        forward(response, request, body);
+    public void delete(@Suspended AsyncResponse response, @Context HttpServletRequest request) {
+        forward(response, request);
     }
 
-    private void forward(AsyncResponse response, HttpServletRequest request, InputStream bodyStream) {
+    private void forward(AsyncResponse response, HttpServletRequest request) {
         OrganisationDeclaration organisation = authenticator.authenticate(request.getHeader("Authorization"));
         String rest = request.getRequestURI().substring(PREFIX.length());
         int slash = rest.indexOf('/');
@@ -122,7 +121,7 @@
             throw badRequest("the path must not hold dot segments, empty segments, parameters or encoded slashes");
         }
         ServiceDeclaration service = authenticator.requireService(name, ServiceDeclaration.Kind.PLAIN);
-        byte[] body = readBody(bodyStream);
+        byte[] body = readBody(request);
         boolean idempotent = RouteClassifier.isIdempotent(service, request.getMethod(), path);
         String key = idempotent ? "" : checkedKey(request.getHeader("Idempotency-Key"));
         String query = request.getQueryString();
@@ -166,9 +165,9 @@
         return headers;
     }
 
-    private byte[] readBody(InputStream stream) {
+    private byte[] readBody(HttpServletRequest request) {
         try {
-            byte[] bytes = stream.readNBytes(maxBodyBytes + 1);
+            byte[] bytes = request.getInputStream().readNBytes(maxBodyBytes + 1);
             if (bytes.length > maxBodyBytes) {
                 throw new LaburnummoorException(
                         ErrorCode.BODY_TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes");
