--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -14,6 +14,7 @@
     private static final int EXIT_USAGE = 2;
 
     private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.ofEntries(
+            Map.entry("at-most-once", new AtMostOnceScenario()),
             Map.entry("capacity", new CapacityScenario()),
             Map.entry("config-propagation", new ConfigPropagationScenario()),
             Map.entry("kv-outage", new KvOutageScenario()),
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/NonIdempotentCall.java
@@ -0,0 +1,143 @@
+package io.laburnummoor.core.request;
+
+import io.laburnummoor.core.ErrorCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides about one non-idempotent call on the router that received it: when it may be handed over, and what the caller
+ * is told. Events of one call are serialised by its owner.
+ */
+public final class NonIdempotentCall {
+    /**
+     * Age up to which a key is taken to be new. Callers make a key for a call and send it at once; a repetition that
+     * finds neither the key-value service nor the holder must not be told "not run" on behalf of an earlier attempt.
+     */
+    static final long FIRST_USE_AGE_MILLIS = 1_000;
+
+    private final ClaimRecord claim;
+    private final CallEffects effects;
+    private final boolean firstUse;
+    private ErrorCode givenUpCode = ErrorCode.NOT_RUN;
+    private Phase phase = Phase.CLAIMING;
+
+    /**
+     * Creates the call of a claim that is about to be requested.
+     *
+     * @param keyAgeMillis time since the key's issue; a key younger than {@link #FIRST_USE_AGE_MILLIS} is taken to be
+     *     used for the first time when no holder can tell
+     */
+    public NonIdempotentCall(ClaimRecord claim, long keyAgeMillis, CallEffects effects) {
+        this.claim = claim;
+        this.firstUse = keyAgeMillis <= FIRST_USE_AGE_MILLIS;
+        this.effects = effects;
+    }
+
+    /** Requests the claim. */
+    public void start() {
+        effects.claim(claim);
+    }
+
+    /** Takes the answer to the claim; {@code UNAVAILABLE} also stands for no answer. */
+    public void onClaimOutcome(ClaimOutcome outcome, long nowMillis) {
+        if (phase != Phase.CLAIMING) {
+            return;
+        }
+        switch (outcome.kind()) {
+            case GRANTED -> {
+                if (nowMillis < claim.deadlineMillis()) {
+                    phase = Phase.HANDING_OVER;
+                    effects.handOver();
+                } else {
+                    giveUp(ErrorCode.NOT_RUN, "the claim took too long");
+                }
+            }
+            case ALREADY_DONE, ALREADY_CLAIMED, KEY_REUSED -> answerFromEarlier(outcome);
+            case UNAVAILABLE_FIRST_USE -> giveUp(ErrorCode.NOT_RUN, "no claim could be made");
+            case UNAVAILABLE -> giveUp(
+                    firstUse ? ErrorCode.NOT_RUN : ErrorCode.OUTCOME_UNKNOWN,
+                    firstUse
+                            ? "no claim could be made"
+                            : "no claim could be made and earlier attempts with this key could not be checked");
+            default -> giveUp(ErrorCode.NOT_RUN, "the claim was rejected");
+        }
+    }
+
+    /** Takes the proof that no byte of the call reached an upstream. */
+    public void onNeverHandedOver(String reason) {
+        if (phase == Phase.HANDING_OVER) {
+            giveUp(ErrorCode.NOT_RUN, reason);
+        }
+    }
+
+    /** Takes the upstream's answer. */
+    public void onResult(RecordedResult recorded) {
+        if (phase == Phase.HANDING_OVER) {
+            phase = Phase.FINISHED;
+            effects.record(claim.done(recorded));
+            effects.answerLive();
+        }
+    }
+
+    /** Takes a failure after which the upstream may have run the call; the claim stays. */
+    public void onOutcomeUnknown(String reason) {
+        if (phase == Phase.HANDING_OVER) {
+            fail(ErrorCode.OUTCOME_UNKNOWN, reason);
+        }
+    }
+
+    /**
+     * Takes the answer to the release. An unavailable one means that the claim will be released in the background; the
+     * caller is then told what was known when the claim was given up.
+     */
+    public void onReleaseOutcome(ClaimOutcome outcome, String reason) {
+        if (phase != Phase.RELEASING) {
+            return;
+        }
+        switch (outcome.kind()) {
+            case RECORDED -> fail(ErrorCode.NOT_RUN, reason);
+            case ALREADY_DONE, ALREADY_CLAIMED, KEY_REUSED -> answerFromEarlier(outcome);
+            default -> fail(givenUpCode, reason);
+        }
+    }
+
+    private void giveUp(ErrorCode code, String reason) {
+        givenUpCode = code;
+        phase = Phase.RELEASING;
+        effects.release(claim.released(), reason);
+    }
+
+    private void answerFromEarlier(ClaimOutcome outcome) {
+        switch (outcome.kind()) {
+            case ALREADY_DONE -> finishWithRecorded(outcome.result());
+            case KEY_REUSED -> fail(ErrorCode.KEY_REUSED, "the key was used before with another request");
+            default -> fail(
+                    ErrorCode.OUTCOME_UNKNOWN, "a call with this key was claimed before and has no recorded result");
+        }
+    }
+
+    private void finishWithRecorded(@Nullable RecordedResult result) {
+        if (result == null || result.bodyBase64() == null) {
+            fail(
+                    ErrorCode.OUTCOME_UNKNOWN,
+                    result == null
+                            ? "the call has finished, its result was not recorded"
+                            : "the call has finished with status " + result.status() + ", its body of "
+                                    + result.sizeBytes() + " bytes was too large to record");
+            return;
+        }
+        phase = Phase.FINISHED;
+        effects.answerRecorded(result);
+    }
+
+    private void fail(ErrorCode code, String detail) {
+        phase = Phase.FINISHED;
+        effects.fail(code, detail);
+    }
+
+    private enum Phase {
+        CLAIMING,
+        HANDING_OVER,
+        RELEASING,
+        FINISHED
+    }
+}
