--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/EvidenceRecorder.java
@@ -0,0 +1,73 @@
+package io.laburnummoor.core.version;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
+
+/**
+ * Collects what attempts of both versions of one rollout meet; called on the path of a request without a lock.
+ *
+ * <p>An attempt that ends while a period is drained may be left out; this loses a few attempts of both versions alike.
+ */
+public final class EvidenceRecorder {
+    /** Length of a period. */
+    public static final long PERIOD_MILLIS = 1_000;
+
+    private final AtomicReference<ConcurrentHashMap<Stratum, Cell[]>> current =
+            new AtomicReference<>(new ConcurrentHashMap<>());
+
+    /** Records the end of an attempt. */
+    public void record(Stratum stratum, boolean isNewVersion, AttemptOutcome outcome) {
+        Cell[] cells = Objects.requireNonNull(current.get())
+                .computeIfAbsent(stratum, added -> new Cell[] {new Cell(), new Cell()});
+        cells[isNewVersion ? 1 : 0].add(outcome);
+    }
+
+    /** Returns the evidence of the period that ends now, and starts the next one. */
+    public Map<Stratum, Comparison> drain() {
+        return Objects.requireNonNull(current.getAndSet(new ConcurrentHashMap<>())).entrySet().stream()
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey,
+                        each -> new Comparison(each.getValue()[0].sample(), each.getValue()[1].sample())));
+    }
+
+    /** Counts of one version in one stratum. */
+    private static final class Cell {
+        private final LongAdder requests = new LongAdder();
+        private final LongAdder errors = new LongAdder();
+        private final LongAdder losses = new LongAdder();
+        private final AtomicIntegerArray firstTokens = new AtomicIntegerArray(LatencyCounts.BUCKETS);
+        private final AtomicIntegerArray gaps = new AtomicIntegerArray(LatencyCounts.BUCKETS);
+
+        void add(AttemptOutcome outcome) {
+            requests.increment();
+            if (outcome.end() == AttemptOutcome.End.ERROR) {
+                errors.increment();
+            } else if (outcome.end() == AttemptOutcome.End.LOST) {
+                losses.increment();
+            }
+            if (outcome.firstTokenMicros() > 0) {
+                firstTokens.incrementAndGet(LatencyCounts.bucketOf(outcome.firstTokenMicros()));
+            }
+            if (outcome.gapMicros() > 0) {
+                gaps.incrementAndGet(LatencyCounts.bucketOf(outcome.gapMicros()));
+            }
+        }
+
+        VersionSample sample() {
+            return new VersionSample(requests.sum(), errors.sum(), losses.sum(), counts(firstTokens), counts(gaps));
+        }
+
+        private static LatencyCounts counts(AtomicIntegerArray buckets) {
+            int[] values = new int[LatencyCounts.BUCKETS];
+            for (int i = 0; i < values.length; i++) {
+                values[i] = buckets.get(i);
+            }
+            return LatencyCounts.of(values);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/GroupTests.java
@@ -0,0 +1,186 @@
+package io.laburnummoor.core.version;
+
+import java.util.List;
+import java.util.Locale;
+
+/** The tests of one route and load level. */
+final class GroupTests {
+    /** Weight of the running estimate of the old version's rate against the present period, in attempts. */
+    private static final double PRIOR_ATTEMPTS = 50;
+    /** Attempts after which the running estimate forgets half. */
+    private static final double MEMORY_ATTEMPTS = 5_000;
+    /** Rates below this fraction of the allowed increase are not told apart. */
+    private static final double FLOOR_FRACTION = 0.25;
+    /** Fraction of the old version's latencies that exceed the tested quantile. */
+    private static final double TAIL_FRACTION = 0.1;
+    /** Old latencies that are needed before the new version's are tested, and that are remembered. */
+    private static final long MIN_BASELINE = 40;
+
+    private static final long MEMORY_LATENCIES = 200;
+    /** Latencies of attempts that run together on one upstream rise and fall together; each counts as half a trial. */
+    private static final double LATENCY_WEIGHT = 0.5;
+
+    private static final double MAX_PROBABILITY = 0.98;
+
+    private final double allowedIncrease;
+    private final int slowdownBuckets;
+    private final RateTest errors;
+    private final RateTest losses;
+    private final LatencyTest firstTokens;
+    private final LatencyTest gaps;
+
+    GroupTests(EvaluationBounds bounds, int expectedRuns) {
+        double falseAlarmRate = bounds.falseAlarmRate() / expectedRuns;
+        this.allowedIncrease = bounds.maxErrorRateIncrease();
+        this.slowdownBuckets = LatencyCounts.bucketsOfRatio(bounds.maxSlowdownRatio());
+        this.errors = new RateTest("errors", new SequentialTest(falseAlarmRate, bounds.missRate()));
+        this.losses = new RateTest("losses", new SequentialTest(falseAlarmRate, bounds.missRate()));
+        this.firstTokens =
+                new LatencyTest("time to first token", new SequentialTest(falseAlarmRate, bounds.missRate()));
+        this.gaps = new LatencyTest("inter-token latency", new SequentialTest(falseAlarmRate, bounds.missRate()));
+    }
+
+    void add(Comparison total, LossTrials lossTrials) {
+        VersionSample before = total.before();
+        VersionSample after = total.after();
+        errors.add(before.errors(), before.requests(), after.errors(), after.requests());
+        losses.add(lossTrials.beforeEvents, lossTrials.beforeTrials, lossTrials.afterEvents, lossTrials.afterTrials);
+        firstTokens.add(before.firstTokens(), after.firstTokens());
+        gaps.add(before.gaps(), after.gaps());
+    }
+
+    List<MetricTest> metrics() {
+        return List.of(errors, losses, firstTokens, gaps);
+    }
+
+    /** A test together with its figures. */
+    interface MetricTest {
+        /** Returns the test. */
+        SequentialTest test();
+
+        /** Returns the figures in words. */
+        String describe();
+    }
+
+    /**
+     * Losses as events: those of one version in one failure domain and period count once, because a crash breaks all
+     * streams of an upstream together.
+     */
+    record LossTrials(long beforeEvents, long beforeTrials, long afterEvents, long afterTrials) {
+        static final LossTrials NONE = new LossTrials(0, 0, 0, 0);
+        /** Attempts of one domain and period that count as trials of its one possible event. */
+        private static final long MAX_TRIALS = 20;
+
+        static LossTrials of(Comparison comparison) {
+            return new LossTrials(
+                    Math.min(1, comparison.before().losses()),
+                    Math.min(MAX_TRIALS, comparison.before().requests()),
+                    Math.min(1, comparison.after().losses()),
+                    Math.min(MAX_TRIALS, comparison.after().requests()));
+        }
+
+        LossTrials plus(LossTrials other) {
+            return new LossTrials(
+                    beforeEvents + other.beforeEvents,
+                    beforeTrials + other.beforeTrials,
+                    afterEvents + other.afterEvents,
+                    afterTrials + other.afterTrials);
+        }
+    }
+
+    /** Tests a rate of failures against that of the old version plus the allowed increase. */
+    private final class RateTest implements MetricTest {
+        private final String name;
+        private final SequentialTest test;
+        private double knownFailures;
+        private double knownAttempts;
+        private long afterFailures;
+        private long afterAttempts;
+
+        RateTest(String name, SequentialTest test) {
+            this.name = name;
+            this.test = test;
+        }
+
+        void add(long beforeFailed, long beforeTotal, long afterFailed, long afterTotal) {
+            double knownRate = knownAttempts == 0 ? 0 : knownFailures / knownAttempts;
+            double weight = beforeTotal + PRIOR_ATTEMPTS;
+            double rate = (beforeFailed + PRIOR_ATTEMPTS * knownRate) / weight;
+            // One standard error is added, so that a small sample of the old version does not incriminate the new one.
+            double allowance = Math.sqrt(rate * (1 - rate) / weight);
+            double expected = Math.min(0.9, Math.max(rate + allowance, FLOOR_FRACTION * allowedIncrease));
+            test.add(afterFailed, afterTotal, expected, Math.min(MAX_PROBABILITY, expected + allowedIncrease), 1);
+            knownFailures += beforeFailed;
+            knownAttempts += beforeTotal;
+            if (knownAttempts > MEMORY_ATTEMPTS) {
+                knownFailures /= 2;
+                knownAttempts /= 2;
+            }
+            afterFailures += afterFailed;
+            afterAttempts += afterTotal;
+        }
+
+        @Override
+        public SequentialTest test() {
+            return test;
+        }
+
+        @Override
+        public String describe() {
+            return String.format(
+                    Locale.ROOT,
+                    "%s new %d of %d, old %.2f%%",
+                    name,
+                    afterFailures,
+                    afterAttempts,
+                    knownAttempts == 0 ? 0 : 100 * knownFailures / knownAttempts);
+        }
+    }
+
+    /** Tests how often latencies exceed a quantile of the old version's. */
+    private final class LatencyTest implements MetricTest {
+        private final String name;
+        private final SequentialTest test;
+        private LatencyCounts baseline = LatencyCounts.EMPTY;
+        private long exceeded;
+        private long tested;
+
+        LatencyTest(String name, SequentialTest test) {
+            this.name = name;
+            this.test = test;
+        }
+
+        void add(LatencyCounts before, LatencyCounts after) {
+            // The memory is halved while it is large, so a busy service is compared with the last two periods or so.
+            while (baseline.total() > MEMORY_LATENCIES) {
+                baseline = baseline.halved();
+            }
+            baseline = baseline.plus(before);
+            long total = baseline.total();
+            if (total < MIN_BASELINE || after.total() == 0) {
+                return;
+            }
+            int bucket = baseline.bucketAtTail(TAIL_FRACTION);
+            double expected = (baseline.atOrAbove(bucket) + 1) / (total + 2.0);
+            expected += Math.sqrt(expected * (1 - expected) / total);
+            double slow = (baseline.atOrAbove(bucket - slowdownBuckets) + 1) / (total + 2.0);
+            // A distribution with a long gap below its tail would make both hypotheses equal.
+            slow = Math.min(MAX_PROBABILITY, Math.max(slow, 2 * expected));
+            long count = after.atOrAbove(bucket);
+            test.add(count, after.total(), expected, slow, LATENCY_WEIGHT);
+            exceeded += count;
+            tested += after.total();
+        }
+
+        @Override
+        public SequentialTest test() {
+            return test;
+        }
+
+        @Override
+        public String describe() {
+            return String.format(
+                    Locale.ROOT, "%s new %d of %d above the old version's 90th percentile", name, exceeded, tested);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/LocalBrake.java
@@ -0,0 +1,40 @@
+package io.laburnummoor.core.version;
+
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Stops the new version on one router on that router's own evidence. Once applied it is never released.
+ *
+ * <p>It needs no other process, so it also works while the key-value service is down.
+ */
+public final class LocalBrake {
+    private final VersionEvaluation evaluation;
+    private final AtomicReference<@Nullable String> reason = new AtomicReference<>();
+
+    /** Creates a brake that is applied when the evaluation shows the new version to be bad. */
+    public LocalBrake(VersionEvaluation evaluation) {
+        this.evaluation = evaluation;
+    }
+
+    /** Adds this router's evidence of one period; called by one thread. */
+    public void add(Map<Stratum, Comparison> period) {
+        evaluation.add(period);
+        VersionEvaluation.Verdict verdict = evaluation.verdict();
+        if (verdict.bad()) {
+            apply(verdict.evidence());
+        }
+    }
+
+    /** Applies the brake for a reason from elsewhere. */
+    public void apply(String why) {
+        reason.compareAndSet(null, why);
+    }
+
+    /** Returns why the brake is applied, or null if it is not. */
+    public @Nullable String reason() {
+        return reason.get();
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/SequentialEvaluation.java
@@ -0,0 +1,84 @@
+package io.laburnummoor.core.version;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Compares both versions by sequential tests, one for each route, load level and metric.
+ *
+ * <p>The probabilities under the hypothesis come from the old version over the same period, route and load level.
+ * Latencies are tested by how often the new version exceeds a high quantile of the old one; how often a version that is
+ * slower by the declared ratio would exceed it is read from the old version's own distribution.
+ */
+public final class SequentialEvaluation implements VersionEvaluation {
+    /** The false-alarm rate is divided by this number of test runs: 24 tests that each run 100 times in a rollout. */
+    private static final int EXPECTED_RUNS = 2_400;
+    /** Progress of any test above which a step forward waits. */
+    private static final double SUSPICIOUS_PROGRESS = 0.4;
+
+    private final EvaluationBounds bounds;
+    private final CorrelatedLossFilter filter = new CorrelatedLossFilter();
+    private final Map<Group, GroupTests> groups = new TreeMap<>();
+    private long comparedRequests;
+
+    /** Creates an evaluation without evidence. */
+    public SequentialEvaluation(EvaluationBounds bounds) {
+        this.bounds = bounds;
+    }
+
+    @Override
+    public void add(Map<Stratum, Comparison> period) {
+        Map<Stratum, Comparison> usable = filter.add(period);
+        if (usable == null) {
+            return;
+        }
+        Map<Group, Comparison> totals = new HashMap<>();
+        Map<Group, GroupTests.LossTrials> losses = new HashMap<>();
+        usable.forEach((stratum, comparison) -> {
+            String route = bounds.routes().contains(stratum.route()) ? stratum.route() : "";
+            Group group = new Group(route, stratum.loadLevel());
+            totals.merge(group, comparison, Comparison::plus);
+            losses.merge(group, GroupTests.LossTrials.of(comparison), GroupTests.LossTrials::plus);
+        });
+        totals.forEach((group, total) -> {
+            comparedRequests += total.after().requests();
+            groups.computeIfAbsent(group, added -> new GroupTests(bounds, EXPECTED_RUNS))
+                    .add(total, losses.getOrDefault(group, GroupTests.LossTrials.NONE));
+        });
+    }
+
+    @Override
+    public Verdict verdict() {
+        double highest = Double.NEGATIVE_INFINITY;
+        boolean bad = false;
+        String evidence = "no evidence yet";
+        for (Map.Entry<Group, GroupTests> each : groups.entrySet()) {
+            for (GroupTests.MetricTest metric : each.getValue().metrics()) {
+                double progress = metric.test().isRejected()
+                        ? Double.POSITIVE_INFINITY
+                        : metric.test().progress();
+                if (progress > highest) {
+                    highest = progress;
+                    evidence = each.getKey() + ": " + metric.describe();
+                }
+                bad |= metric.test().isRejected();
+            }
+        }
+        return new Verdict(bad, highest > SUSPICIOUS_PROGRESS, comparedRequests, evidence);
+    }
+
+    /** A route and a load level. */
+    private record Group(String route, LoadLevel loadLevel) implements Comparable<Group> {
+        @Override
+        public int compareTo(Group other) {
+            int byRoute = route.compareTo(other.route);
+            return byRoute != 0 ? byRoute : loadLevel.compareTo(other.loadLevel);
+        }
+
+        @Override
+        public String toString() {
+            return (route.isEmpty() ? "other routes" : "route " + route) + ", load " + loadLevel;
+        }
+    }
+}
