--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -13,7 +13,10 @@
 final class ScenarioCommand implements BenchCommand {
     private static final int EXIT_USAGE = 2;
 
-    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of("resume", new ResumeScenario()));
+    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of(
+            "resume", new ResumeScenario(),
+            "rollout-good", new RolloutScenario(true),
+            "rollout-bad", new RolloutScenario(false)));
 
     @Parameter(description = "name of the scenario", required = true)
     private List<String> names = new ArrayList<>();
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ControllerLease.java
@@ -0,0 +1,80 @@
+package io.laburnummoor.core.process;
+
+import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
+
+/**
+ * The lease that makes one router the controller of rollouts, and its fencing token. Used by one thread.
+ *
+ * <p>The lease only keeps routers from competing. A holder that was paused is stopped by the compare-and-swap of each
+ * step and by the fencing token of each order.
+ */
+public final class ControllerLease {
+    /** Key that names the controller; it lapses with the lease. */
+    public static final String LEASE_KEY = "rollouts/lease";
+    /** Key with the fencing token in force; it never lapses and its value only grows. */
+    public static final String FENCE_KEY = "rollouts/fence";
+
+    private static final long TIME_TO_LIVE_SECONDS = 10;
+
+    private final KeyValueStore store;
+    private final String routerName;
+    private long leaseId = KeyValueStore.NO_LEASE;
+    private long token;
+    private boolean held;
+
+    /** Creates a lease that the router does not hold yet. */
+    public ControllerLease(KeyValueStore store, String routerName) {
+        this.store = store;
+        this.routerName = routerName;
+    }
+
+    /**
+     * Keeps the lease alive, or takes it if no router holds it.
+     *
+     * @return whether this router is the controller
+     * @throws io.laburnummoor.core.LaburnummoorException with code {@code store_unavailable} if that is unknown
+     */
+    public boolean hold() {
+        if (held) {
+            held = store.keepLeaseAlive(leaseId);
+        }
+        if (!held) {
+            held = acquire();
+        }
+        return held;
+    }
+
+    /** Returns the fencing token of this router's time as controller; higher for each time. */
+    public long token() {
+        return token;
+    }
+
+    private boolean acquire() {
+        VersionedValue current = store.get(LEASE_KEY);
+        if (current == null) {
+            leaseId = store.grantLease(TIME_TO_LIVE_SECONDS);
+            if (store.compareAndSwap(LEASE_KEY, KeyValueStore.ABSENT, value(), leaseId) == KeyValueStore.ABSENT) {
+                return false;
+            }
+        } else if (leaseId == KeyValueStore.NO_LEASE || !current.value().equals(value())) {
+            return false;
+        }
+        // Also reached when the answer to this router's own compare-and-swap was lost: the lease id proves it.
+        return store.keepLeaseAlive(leaseId) && raiseFence();
+    }
+
+    private boolean raiseFence() {
+        VersionedValue before = store.get(FENCE_KEY);
+        long next = before == null ? 1 : Long.parseLong(before.value()) + 1;
+        long expected = before == null ? KeyValueStore.ABSENT : before.version();
+        if (store.compareAndSwap(FENCE_KEY, expected, Long.toString(next)) == KeyValueStore.ABSENT) {
+            return false;
+        }
+        token = next;
+        return true;
+    }
+
+    private String value() {
+        return routerName + " " + leaseId;
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RolloutController.java
@@ -0,0 +1,153 @@
+package io.laburnummoor.core.process;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
+import io.laburnummoor.core.version.Comparison;
+import io.laburnummoor.core.version.EvaluationBounds;
+import io.laburnummoor.core.version.RolloutDeclaration;
+import io.laburnummoor.core.version.RolloutRules;
+import io.laburnummoor.core.version.RolloutState;
+import io.laburnummoor.core.version.Stratum;
+import io.laburnummoor.core.version.VersionEvaluation;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Moves the declared rollouts while this router holds the lease; {@link #tick} is called once a period by one thread.
+ *
+ * <p>Each change is one compare-and-swap against the state that it was decided on. A lost answer needs no special case:
+ * the next tick reads the state again and decides anew. While the key-value service does not answer, no change is made,
+ * but evidence is still evaluated and a bad version is stopped by the brakes of the routers.
+ */
+public final class RolloutController {
+    private static final String KEY_PREFIX = "rollouts/state/";
+
+    private final KeyValueStore store;
+    private final RolloutStateCodec codec;
+    private final RolloutEvidence evidence;
+    private final RolloutRules rules;
+    private final Function<EvaluationBounds, VersionEvaluation> evaluations;
+    private final Clock wallClock;
+    private final ControllerLease lease;
+    private final Map<String, Tracked> tracked = new HashMap<>();
+    private volatile boolean controlling;
+
+    /**
+     * Creates the controller of a router.
+     *
+     * @param evaluations creates the evaluation of a rollout
+     * @param wallClock clock of the deadlines
+     */
+    public RolloutController(
+            KeyValueStore store,
+            RolloutStateCodec codec,
+            RolloutEvidence evidence,
+            RolloutRules rules,
+            Function<EvaluationBounds, VersionEvaluation> evaluations,
+            String routerName,
+            Clock wallClock) {
+        this.store = store;
+        this.codec = codec;
+        this.evidence = evidence;
+        this.rules = rules;
+        this.evaluations = evaluations;
+        this.wallClock = wallClock;
+        this.lease = new ControllerLease(store, routerName);
+    }
+
+    /** Returns the key of a rollout's state. */
+    public static String key(String rollout) {
+        return KEY_PREFIX + rollout;
+    }
+
+    /** Returns whether this router was the controller at the last tick. */
+    public boolean isControlling() {
+        return controlling;
+    }
+
+    /** Returns the fencing token for orders of this controller. */
+    public long fencingToken() {
+        return lease.token();
+    }
+
+    /**
+     * Evaluates the evidence of one period and makes the changes that are due.
+     *
+     * @throws LaburnummoorException with code {@code store_unavailable} if the key-value service does not answer
+     */
+    public void tick(List<RolloutDeclaration> declared) {
+        for (RolloutDeclaration each : declared) {
+            evaluate(each);
+        }
+        controlling = lease.hold();
+        if (!controlling) {
+            // Another router collects the evidence now; evidence of two times as controller must not be mixed.
+            tracked.clear();
+            return;
+        }
+        for (RolloutDeclaration each : declared) {
+            tracked.computeIfAbsent(each.name(), added -> new Tracked(evaluations.apply(EvaluationBounds.of(each))));
+            advance(each);
+        }
+        tracked.keySet()
+                .retainAll(declared.stream().map(RolloutDeclaration::name).toList());
+    }
+
+    private void evaluate(RolloutDeclaration declaration) {
+        Map<Stratum, Comparison> period = evidence.drain(declaration.name());
+        Tracked known = tracked.get(declaration.name());
+        if (known == null) {
+            return;
+        }
+        known.evaluation.add(period);
+        VersionEvaluation.Verdict verdict = known.evaluation.verdict();
+        if (verdict.bad() && evidence.brakeReason(declaration.name()) == null) {
+            evidence.applyBrake(declaration.name(), verdict.evidence());
+        }
+    }
+
+    private void advance(RolloutDeclaration declaration) {
+        VersionedValue stored = store.get(key(declaration.name()));
+        long nowMillis = wallClock.nowMillis();
+        if (stored == null) {
+            RolloutState first = RolloutState.start(declaration, nowMillis);
+            store.compareAndSwap(key(declaration.name()), KeyValueStore.ABSENT, codec.encode(first));
+            return;
+        }
+        RolloutState state = codec.decode(stored.value());
+        Tracked known = tracked.get(declaration.name());
+        if (known == null) {
+            return;
+        }
+        RolloutState next = decide(state, known, nowMillis);
+        if (next != null) {
+            store.compareAndSwap(key(declaration.name()), stored.version(), codec.encode(next));
+        }
+    }
+
+    private @Nullable RolloutState decide(RolloutState state, Tracked known, long nowMillis) {
+        VersionEvaluation.Verdict verdict = known.evaluation.verdict();
+        if (known.step != state.step()) {
+            known.step = state.step();
+            known.comparedBeforeStep = verdict.comparedRequests();
+        }
+        long comparedInStep = verdict.comparedRequests() - known.comparedBeforeStep;
+        return rules.next(state, verdict, comparedInStep, evidence.brakeReason(state.name()), nowMillis);
+    }
+
+    /** Evidence of one rollout since this router became the controller. */
+    private static final class Tracked {
+        private final VersionEvaluation evaluation;
+        private int step = -1;
+        private long comparedBeforeStep;
+
+        Tracked(VersionEvaluation evaluation) {
+            this.evaluation = evaluation;
+        }
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/GroupTests.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/GroupTests.java
@@ -13,10 +13,8 @@
     private static final double FLOOR_FRACTION = 0.25;
     /** Fraction of the old version's latencies that exceed the tested quantile. */
     private static final double TAIL_FRACTION = 0.1;
-    /** Old latencies that are needed before the new version's are tested, and that are remembered. */
+    /** Old latencies that are collected before the new version's of the same periods are tested. */
     private static final long MIN_BASELINE = 40;
-
-    private static final long MEMORY_LATENCIES = 200;
     /** Latencies of attempts that run together on one upstream rise and fall together; each counts as half a trial. */
     private static final double LATENCY_WEIGHT = 0.5;
 
@@ -142,6 +140,7 @@
         private final String name;
         private final SequentialTest test;
         private LatencyCounts baseline = LatencyCounts.EMPTY;
+        private LatencyCounts candidate = LatencyCounts.EMPTY;
         private long exceeded;
         private long tested;
 
@@ -151,25 +150,33 @@
         }
 
         void add(LatencyCounts before, LatencyCounts after) {
-            // The memory is halved while it is large, so a busy service is compared with the last two periods or so.
-            while (baseline.total() > MEMORY_LATENCIES) {
-                baseline = baseline.halved();
-            }
+            // Both versions are collected over the same periods. A baseline older than the new version's latencies
+            // rolled back good versions when latencies rose at an unchanged load level.
             baseline = baseline.plus(before);
-            long total = baseline.total();
-            if (total < MIN_BASELINE || after.total() == 0) {
-                return;
+            candidate = candidate.plus(after);
+            if (baseline.total() >= MIN_BASELINE) {
+                if (candidate.total() > 0) {
+                    compare();
+                }
+                baseline = LatencyCounts.EMPTY;
+                candidate = LatencyCounts.EMPTY;
             }
+        }
+
+        private void compare() {
+            long total = baseline.total();
             int bucket = baseline.bucketAtTail(TAIL_FRACTION);
             double expected = (baseline.atOrAbove(bucket) + 1) / (total + 2.0);
             expected += Math.sqrt(expected * (1 - expected) / total);
             double slow = (baseline.atOrAbove(bucket - slowdownBuckets) + 1) / (total + 2.0);
             // A distribution with a long gap below its tail would make both hypotheses equal.
             slow = Math.min(MAX_PROBABILITY, Math.max(slow, 2 * expected));
-            long count = after.atOrAbove(bucket);
-            test.add(count, after.total(), expected, slow, LATENCY_WEIGHT);
+            long count = candidate.atOrAbove(bucket);
+            // A small sample of the old version cannot support more trials of the new one.
+            double weight = LATENCY_WEIGHT * Math.min(1, (double) total / candidate.total());
+            test.add(count, candidate.total(), expected, slow, weight);
             exceeded += count;
-            tested += after.total();
+            tested += candidate.total();
         }
 
         @Override
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/LatencyCounts.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/LatencyCounts.java
@@ -49,11 +49,6 @@
         return new LatencyCounts(sum);
     }
 
-    /** Returns these counts with half of their weight, used to forget old latencies. */
-    public LatencyCounts halved() {
-        return new LatencyCounts(Arrays.stream(counts).map(each -> each / 2).toArray());
-    }
-
     /** Returns the number of latencies. */
     public long total() {
         return total;
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/SequentialEvaluation.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/SequentialEvaluation.java
@@ -1,19 +1,23 @@
 package io.laburnummoor.core.version;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /**
- * Compares both versions by sequential tests, one for each route, load level and metric.
+ * Compares both versions by sequential tests, one for each route, load level and metric, and
+ * one over all routes, which finds a version that is bad everywhere with less traffic.
  *
  * <p>The probabilities under the hypothesis come from the old version over the same period, route and load level.
  * Latencies are tested by how often the new version exceeds a high quantile of the old one; how often a version that is
  * slower by the declared ratio would exceed it is read from the old version's own distribution.
  */
 public final class SequentialEvaluation implements VersionEvaluation {
-    /** The false-alarm rate is divided by this number of test runs: 24 tests that each run 100 times in a rollout. */
-    private static final int EXPECTED_RUNS = 2_400;
+    /** The false-alarm rate is divided by this number of test runs: 48 tests that each run 100 times in a rollout. */
+    private static final int EXPECTED_RUNS = 4_800;
+    /** Name of the group of all routes; a path or adapter cannot have it. */
+    private static final String ALL_ROUTES = "*";
     /** Progress of any test above which a step forward waits. */
     private static final double SUSPICIOUS_PROGRESS = 0.4;
 
@@ -37,12 +41,16 @@
         Map<Group, GroupTests.LossTrials> losses = new HashMap<>();
         usable.forEach((stratum, comparison) -> {
             String route = bounds.routes().contains(stratum.route()) ? stratum.route() : "";
-            Group group = new Group(route, stratum.loadLevel());
-            totals.merge(group, comparison, Comparison::plus);
-            losses.merge(group, GroupTests.LossTrials.of(comparison), GroupTests.LossTrials::plus);
+            for (String each : List.of(route, ALL_ROUTES)) {
+                Group group = new Group(each, stratum.loadLevel());
+                totals.merge(group, comparison, Comparison::plus);
+                losses.merge(group, GroupTests.LossTrials.of(comparison), GroupTests.LossTrials::plus);
+            }
         });
         totals.forEach((group, total) -> {
-            comparedRequests += total.after().requests();
+            if (group.route().equals(ALL_ROUTES)) {
+                comparedRequests += total.after().requests();
+            }
             groups.computeIfAbsent(group, added -> new GroupTests(bounds, EXPECTED_RUNS))
                     .add(total, losses.getOrDefault(group, GroupTests.LossTrials.NONE));
         });
@@ -78,7 +86,8 @@
 
         @Override
         public String toString() {
-            return (route.isEmpty() ? "other routes" : "route " + route) + ", load " + loadLevel;
+            String name = route.equals(ALL_ROUTES) ? "all routes" : "route " + route;
+            return (route.isEmpty() ? "other routes" : name) + ", load " + loadLevel;
         }
     }
 }
