Fence orders to agents

Cause: a controller that was paused may come back and order an engine that ignores fencing tokens. Change: a Thrift service of agents takes orders; a gate reads the token in force from the key-value service for each order and rejects stale and repeated ones, also after a restart of the agent. Scenario stale-order. Conclusion: reading at each order closes the time before an agent first hears of a new controller.

--- a/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentModule.java
+++ b/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentModule.java
@@ -1,7 +1,9 @@
 package io.laburnummoor.agent.process;
 
 import java.net.URI;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
@@ -10,7 +12,13 @@
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.AnswerJournal;
+import io.laburnummoor.core.process.OrderGate;
+import io.laburnummoor.wire.connection.HttpUpstreamCommands;
+import io.laburnummoor.wire.generated.AgentService;
+import io.laburnummoor.wire.generated.OrderService;
+import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JsonHttp;
+import org.apache.thrift.TProcessor;
 
 /** Wires the objects of an agent. */
 public final class AgentModule extends AbstractModule {
@@ -40,6 +48,21 @@
     @Singleton
     List<Service> services(AnswerJournal journal, UpstreamProbe probe) {
         AgentHandler handler = new AgentHandler(settings.agentId(), probe, journal, Clock.monotonic());
-        return List.of(probe, new MetricsServer(settings, journal), new AgentServer(settings, handler, journal));
+        Map<String, TProcessor> processors = new LinkedHashMap<>();
+        processors.put("agent", new AgentService.Processor<>(handler));
+        if (!settings.keyValueAddress().isEmpty()) {
+            processors.put("orders", new OrderService.Processor<>(orders()));
+        }
+        return List.of(
+                probe, new MetricsServer(settings, journal), new AgentServer(settings, handler, processors, journal));
+    }
+
+    private OrderHandler orders() {
+        JsonHttp http = new JsonHttp(PROBE_TIMEOUT_MILLIS);
+        URI upstream = URI.create("http://" + settings.upstreamHost() + ":" + settings.upstreamPort());
+        return new OrderHandler(new OrderGate(
+                new EtcdKeyValueStore(http, URI.create(settings.keyValueAddress())),
+                new HttpUpstreamCommands(http, upstream),
+                Clock.wall()));
     }
 }
--- a/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentServer.java
+++ b/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentServer.java
@@ -4,9 +4,9 @@
 
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.AnswerJournal;
-import io.laburnummoor.wire.generated.AgentService;
 import io.laburnummoor.wire.process.PeriodicTask;
 import io.laburnummoor.wire.process.ThriftServer;
+import org.apache.thrift.TProcessor;
 
 /** Serves Thrift calls of routers and drops expired journal entries. */
 final class AgentServer implements Service {
@@ -18,14 +18,10 @@
     private final ThriftServer server;
     private final PeriodicTask expiry;
 
-    AgentServer(AgentSettings settings, AgentHandler handler, AnswerJournal journal) {
+    AgentServer(AgentSettings settings, AgentHandler handler, Map<String, TProcessor> services, AnswerJournal journal) {
         this.drainMillis = settings.drainMillis();
         this.handler = handler;
-        this.server = new ThriftServer(
-                settings.host(),
-                settings.port(),
-                WORKER_THREADS,
-                Map.of("agent", new AgentService.Processor<>(handler)));
+        this.server = new ThriftServer(settings.host(), settings.port(), WORKER_THREADS, services);
         this.expiry = new PeriodicTask("journal-expiry", EXPIRY_INTERVAL_MILLIS, journal::expire);
     }
 
--- a/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentSettings.java
+++ b/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentSettings.java
@@ -16,6 +16,7 @@
  * @param journalMaxBytes bound on the memory of journaled answers
  * @param journalRetentionMillis time that a journaled answer is kept after its last change
  * @param drainMillis time for which a stopping agent goes on answering, so that routers see that it leaves
+ * @param keyValueAddress address of the platform's key-value service, empty if this agent is to take no orders
  * @param logLevel lowest level that is logged
  */
 public record AgentSettings(
@@ -28,6 +29,7 @@
         long journalMaxBytes,
         long journalRetentionMillis,
         long drainMillis,
+        String keyValueAddress,
         String logLevel) {
 
     /** Reads and checks a settings file. */
@@ -43,6 +45,7 @@
                 settings.integerOr("journal_max_bytes", 32 << 20, 1 << 20, 1 << 30),
                 settings.integerOr("journal_retention_millis", 600_000, 1_000, 3_600_000),
                 settings.integerOr("drain_millis", 3_000, 0, 600_000),
+                settings.textOr("key_value_address", ""),
                 settings.textOr("log_level", "INFO"));
         settings.throwIfFaulty();
         return result;
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -18,12 +20,15 @@
  */
 public final class EngineStandIn extends HttpStandIn {
     private static final int STATUS_OK = 200;
+    private static final int STATUS_ERROR = 500;
     private static final int STATUS_UNAVAILABLE = 503;
     private static final long PAUSE_POLL_MILLIS = 5;
     private static final int EXIT_KILLED = 137;
 
     private final EngineSettings settings;
     private final long incarnation;
+    private final List<ExecutedOrder> executedOrders = new CopyOnWriteArrayList<>();
+    private final List<String> adapters = new CopyOnWriteArrayList<>();
     private final SplittableRandom random;
     private final AtomicInteger runningCount = new AtomicInteger();
     private final AtomicLong generatedTokens = new AtomicLong();
@@ -31,15 +36,19 @@
     private volatile boolean dead;
     private volatile boolean paused;
     private volatile boolean leaving;
+    private volatile double errorRate;
+    private volatile String version;
 
     /** Creates an engine; port 0 takes a free port. */
     public EngineStandIn(String host, int port, EngineSettings settings) {
         super(host, port);
         this.settings = settings;
+        this.version = settings.version();
         this.random = new SplittableRandom(settings.seed());
         this.incarnation = random.nextLong() & Long.MAX_VALUE;
         route("/v1/completions", this::complete);
         route("/health", this::health);
+        route("/commands", this::command);
         route("/control/exit", exchange -> Runtime.getRuntime().halt(EXIT_KILLED));
     }
 
@@ -64,6 +73,16 @@
         leaving = true;
     }
 
+    /** Answers this fraction of new requests with an error. */
+    public void setErrorRate(double fraction) {
+        errorRate = fraction;
+    }
+
+    /** Returns the orders that were carried out; this engine ignores their fencing tokens. */
+    public List<ExecutedOrder> executedOrders() {
+        return List.copyOf(executedOrders);
+    }
+
     /** Returns the number of streams that run now. */
     public int runningCount() {
         return runningCount.get();
@@ -85,9 +104,9 @@
         body.put("incarnation", incarnation);
         body.put("running", runningCount.get());
         body.put("waiting", 0);
-        body.put("version", settings.version());
+        body.put("version", version);
         body.put("leaving", leaving);
-        body.putArray("adapters");
+        adapters.forEach(body.putArray("adapters")::add);
         writeJson(exchange, STATUS_OK, body);
     }
 
@@ -97,6 +116,10 @@
             writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("code", "leaving"));
             return;
         }
+        if (nextDouble() < errorRate) {
+            writeJson(exchange, STATUS_ERROR, MAPPER.createObjectNode().put("code", "fault"));
+            return;
+        }
         runningCount.incrementAndGet();
         try {
             stream(exchange, request);
@@ -111,7 +134,7 @@
         String prompt = request.path("prompt").asText();
         JsonNode prefix = request.path("prefix_token_ids");
         int maxTokens = request.path("max_tokens").asInt();
-        TokenOracle oracle = new TokenOracle(settings.version(), prompt);
+        TokenOracle oracle = new TokenOracle(version, prompt);
         long state = oracle.start();
         for (JsonNode id : prefix) {
             state = oracle.advance(state, id.asInt());
@@ -138,6 +161,26 @@
         write(output, MAPPER.createObjectNode().put("offset", maxTokens).put("finish_reason", "length"));
     }
 
+    private void command(HttpExchange exchange) throws IOException {
+        JsonNode command = readJson(exchange);
+        String target = command.path("target").asText();
+        executedOrders.add(new ExecutedOrder(
+                command.path("order_id").asText(), command.path("fencing_token").asLong()));
+        switch (command.path("command").asText()) {
+            case "load_version" -> version = target;
+            case "load_adapter" -> adapters.add(target);
+            case "drain" -> leaving = true;
+            default -> {
+                // Models and roles do not change what this stand-in does.
+            }
+        }
+        writeJson(exchange, STATUS_OK, MAPPER.createObjectNode());
+    }
+
+    private synchronized double nextDouble() {
+        return random.nextDouble();
+    }
+
     private synchronized int nextVariant() {
         return random.nextInt(TokenOracle.VARIANTS);
     }
@@ -160,4 +203,12 @@
         output.write(("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
         output.flush();
     }
+
+    /**
+     * An order that was carried out.
+     *
+     * @param orderId id of the order
+     * @param token its fencing token
+     */
+    public record ExecutedOrder(String orderId, long token) {}
 }
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -118,7 +118,7 @@
                 settings.firstTokenMillis(),
                 settings.gapMillis(),
                 settings.seed() + engines.size());
-        engines.add(new EngineNode(id, domain, own));
+        engines.add(new EngineNode(id, domain, own, platformAddress("").toString()));
     }
 
     private void addRouter(String name, String domain) {
@@ -171,13 +171,14 @@
     public static final class EngineNode implements Service {
         private final EngineStandIn engine;
         private final Upstream upstream;
-        private final List<Service> agent;
+        private final AgentSettings agentSettings;
+        private List<Service> agent;
 
-        EngineNode(String id, String domain, EngineSettings settings) {
+        EngineNode(String id, String domain, EngineSettings settings, String keyValueAddress) {
             this.engine = new EngineStandIn(HOST, 0, settings);
             int agentPort = freePort();
             this.upstream = new Upstream(id, SERVICE, domain, HOST, engine.port(), agentPort, false);
-            AgentSettings agentSettings = new AgentSettings(
+            this.agentSettings = new AgentSettings(
                     id,
                     HOST,
                     agentPort,
@@ -187,8 +188,13 @@
                     JOURNAL_MAX_BYTES,
                     JOURNAL_RETENTION_MILLIS,
                     0,
+                    keyValueAddress,
                     "WARN");
-            this.agent = Guice.createInjector(new AgentModule(agentSettings))
+            this.agent = createAgent(agentSettings);
+        }
+
+        private static List<Service> createAgent(AgentSettings agentSettings) {
+            return Guice.createInjector(new AgentModule(agentSettings))
                     .getInstance(Key.get(new TypeLiteral<List<Service>>() {}));
         }
 
@@ -214,6 +220,13 @@
             engine.stop();
         }
 
+        /** Replaces the agent by a new process of it, which has lost its journal and all it has seen. */
+        public void restartAgent() {
+            stopAgent();
+            agent = createAgent(agentSettings);
+            agent.forEach(Service::start);
+        }
+
         /** Stops the agent, which loses its journal, and leaves the engine running. */
         public void stopAgent() {
             for (int i = agent.size() - 1; i >= 0; i--) {
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -16,7 +16,8 @@
     private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of(
             "resume", new ResumeScenario(),
             "rollout-good", new RolloutScenario(true),
-            "rollout-bad", new RolloutScenario(false)));
+            "rollout-bad", new RolloutScenario(false),
+            "stale-order", new StaleOrderScenario()));
 
     @Parameter(description = "name of the scenario", required = true)
     private List<String> names = new ArrayList<>();
