--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/FakeKeyValueStore.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/FakeKeyValueStore.java
@@ -38,6 +38,12 @@
         leases.values().forEach(each -> each.deadlineMillis = Long.MIN_VALUE);
     }
 
+    /** Returns the value of a key regardless of outages, or null. */
+    public @Nullable String peek(String key) {
+        Entry entry = entries.get(key);
+        return entry == null ? null : entry.value;
+    }
+
     @Override
     public @Nullable VersionedValue get(String key) {
         Entry entry = reach().entries.get(key);
