--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -63,6 +63,7 @@
     private static final int LAST_PORT = 32_000;
     private static final int PORT_TRIES = 1_000;
     private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final long ROLLOUT_MIN_STEP_MILLIS = 3_000;
     private static final int JOURNAL_MAX_BYTES = 32 << 20;
     private static final long JOURNAL_RETENTION_MILLIS = 600_000;
 
@@ -161,7 +162,7 @@
                 settings.firstTokenMillis(),
                 settings.gapMillis(),
                 settings.seed() + engines.size());
-        engines.add(new EngineNode(id, domain, own));
+        engines.add(new EngineNode(id, domain, own, platformAddress("").toString()));
     }
 
     private void addRouter(String name, String domain, long drainMillis) {
@@ -176,6 +177,7 @@
                 platformAddress("/vms"),
                 MAX_BODY_BYTES,
                 drainMillis,
+                ROLLOUT_MIN_STEP_MILLIS,
                 "WARN")));
     }
 
@@ -224,13 +226,14 @@
     public static final class EngineNode implements Service {
         private final EngineStandIn engine;
         private final Upstream upstream;
-        private final List<Service> agent;
+        private final AgentSettings agentSettings;
+        private List<Service> agent;
 
-        EngineNode(String id, String domain, EngineSettings settings) {
+        EngineNode(String id, String domain, EngineSettings settings, String keyValueAddress) {
             this.engine = new EngineStandIn(HOST, 0, settings);
             int agentPort = freePort();
             this.upstream = new Upstream(id, SERVICE, domain, HOST, engine.port(), agentPort, false);
-            AgentSettings agentSettings = new AgentSettings(
+            this.agentSettings = new AgentSettings(
                     id,
                     HOST,
                     agentPort,
@@ -240,8 +243,13 @@
                     JOURNAL_MAX_BYTES,
                     JOURNAL_RETENTION_MILLIS,
                     0,
+                    keyValueAddress,
                     "WARN");
-            this.agent = Guice.createInjector(new AgentModule(agentSettings))
+            this.agent = createAgent(agentSettings);
+        }
+
+        private static List<Service> createAgent(AgentSettings agentSettings) {
+            return Guice.createInjector(new AgentModule(agentSettings))
                     .getInstance(Key.get(new TypeLiteral<List<Service>>() {}));
         }
 
@@ -267,6 +275,13 @@
             engine.stop();
         }
 
+        /** Replaces the agent by a new process of it, which has lost its journal and all it has seen. */
+        public void restartAgent() {
+            stopAgent();
+            agent = createAgent(agentSettings);
+            agent.forEach(Service::start);
+        }
+
         /** Stops the agent, which loses its journal, and leaves the engine running. */
         public void stopAgent() {
             for (int i = agent.size() - 1; i >= 0; i--) {
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlainServiceNode.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlainServiceNode.java
@@ -36,6 +36,7 @@
                 JOURNAL_MAX_BYTES,
                 JOURNAL_RETENTION_MILLIS,
                 0,
+                "",
                 "WARN");
         this.agent = Guice.createInjector(new AgentModule(settings))
                 .getInstance(Key.get(new TypeLiteral<List<Service>>() {}));
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -19,7 +19,10 @@
             Map.entry("config-propagation", new ConfigPropagationScenario()),
             Map.entry("kv-outage", new KvOutageScenario()),
             Map.entry("racing-operators", new RacingOperatorsScenario()),
-            Map.entry("resume", new ResumeScenario())));
+            Map.entry("resume", new ResumeScenario()),
+            Map.entry("rollout-bad", new RolloutScenario(false)),
+            Map.entry("rollout-good", new RolloutScenario(true)),
+            Map.entry("stale-order", new StaleOrderScenario())));
 
     @Parameter(description = "name of the scenario", required = true)
     private List<String> names = new ArrayList<>();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/RolloutDeclaration.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/RolloutDeclaration.java
@@ -3,16 +3,16 @@
 import java.util.List;
 
 /**
- * Declaration of a rollout from one version of a service to another.
+ * Declaration of a rollout from one upstream version to another.
  *
- * @param name name of the rollout
- * @param service name of the service
- * @param fromVersion version that serves before the rollout
- * @param toVersion version that serves after it
- * @param completeByMillis deadline of the rollout, in milliseconds since 1970-01-01 UTC
- * @param routes routes that the rollout covers, empty for all
- * @param maxErrorRateIncrease greatest share of requests, from 0 to 1, that may fail in addition to the old version's
- * @param maxSlowdownRatio greatest ratio of the new version's latencies to the old version's
+ * @param name name of the rollout, never used again for another one
+ * @param service service whose version changes
+ * @param fromVersion version that serves before
+ * @param toVersion version that serves afterwards
+ * @param completeByMillis wall-clock time by which the new version is to have all traffic
+ * @param routes routes that are evaluated one by one; the others are evaluated together
+ * @param maxErrorRateIncrease increase of the error rate that counts as bad, as a fraction of requests
+ * @param maxSlowdownRatio ratio of latencies, new to old, that counts as bad
  */
 public record RolloutDeclaration(
         String name,
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -21,9 +21,11 @@
 import io.laburnummoor.core.process.KeyValueStore;
 import io.laburnummoor.core.process.PartitionLeases;
 import io.laburnummoor.core.process.PartitionLog;
+import io.laburnummoor.core.process.RolloutShares;
 import io.laburnummoor.core.process.RouterPeers;
 import io.laburnummoor.core.process.RoutingTable;
 import io.laburnummoor.core.process.UpstreamSelector;
+import io.laburnummoor.core.version.RolloutObservers;
 import io.laburnummoor.core.version.TokenPace;
 import io.laburnummoor.router.connection.ClaimChannel;
 import io.laburnummoor.router.connection.ConfigHandler;
@@ -33,8 +35,11 @@
 import io.laburnummoor.router.request.CallContext;
 import io.laburnummoor.router.request.GenerationContext;
 import io.laburnummoor.router.version.ConfigFollower;
+import io.laburnummoor.router.version.RolloutFollower;
+import io.laburnummoor.router.version.StoredRollouts;
 import io.laburnummoor.wire.generated.ClaimService;
 import io.laburnummoor.wire.generated.ConfigService;
+import io.laburnummoor.wire.generated.RolloutService;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JacksonSegmentCodec;
 import io.laburnummoor.wire.process.JsonHttp;
@@ -62,6 +67,7 @@
 
     @Override
     protected void configure() {
+        install(new RolloutModule(settings));
         bind(RouterSettings.class).toInstance(settings);
         bind(Clock.class).toInstance(Clock.monotonic());
         bind(ConfigHolder.class).toInstance(new ConfigHolder());
@@ -94,7 +100,9 @@
             RoutingTable routing,
             HttpEngineClient engines,
             JournalPeers journals,
-            RouterMetrics metrics) {
+            RouterMetrics metrics,
+            RolloutShares shares,
+            RolloutObservers observers) {
         ConcurrentHashMap<String, TokenPace> paces = new ConcurrentHashMap<>();
         GenerationContext context = new GenerationContext(
                 settings.name(),
@@ -105,7 +113,9 @@
                 engines,
                 journals,
                 version -> paces.computeIfAbsent(version, added -> new TokenPace()),
-                metrics);
+                metrics,
+                shares,
+                observers);
         return new GenerationRegistry(context, settings.drainMillis());
     }
 
@@ -180,14 +190,17 @@
     /** The services that other routers call, by name. */
     @Provides
     @Singleton
-    ThriftServer peerServer(ConfigReplica replica, ConfigHolder config, PartitionCommitter committer) {
+    ThriftServer peerServer(Injector injector) {
+        ConfigHandler configHandler = new ConfigHandler(
+                settings.name(),
+                settings.failureDomain(),
+                injector.getInstance(ConfigReplica.class),
+                injector.getInstance(ConfigHolder.class));
+        ClaimServiceHandler claimHandler = new ClaimServiceHandler(injector.getInstance(PartitionCommitter.class));
         Map<String, TProcessor> processors = new LinkedHashMap<>();
-        processors.put(
-                ConfigHandler.SERVICE_NAME,
-                new ConfigService.Processor<>(
-                        new ConfigHandler(settings.name(), settings.failureDomain(), replica, config)));
-        processors.put(
-                RemoteClaimHolder.SERVICE_NAME, new ClaimService.Processor<>(new ClaimServiceHandler(committer)));
+        processors.put(ConfigHandler.SERVICE_NAME, new ConfigService.Processor<>(configHandler));
+        processors.put(RemoteClaimHolder.SERVICE_NAME, new ClaimService.Processor<>(claimHandler));
+        processors.put("rollouts", new RolloutService.Processor<>(injector.getInstance(RolloutService.Iface.class)));
         return new ThriftServer(settings.host(), settings.peerPort(), PEER_WORKER_THREADS, processors);
     }
 
@@ -222,6 +235,8 @@
                 HttpEngineClient.class,
                 JournalPeers.class,
                 PartitionCommitter.class,
+                StoredRollouts.class,
+                RolloutFollower.class,
                 ThriftServer.class,
                 PlainServiceClient.class,
                 ClaimClient.class,
