Add the admission scheduler with fair turns and learned engine concurrency

Requests started without regard to limits or to what the engines can run. The scheduler decides which requests start, wait or are refused; organisations take turns, and the callers of one organisation take turns by deficit round robin. Not wired into the router yet.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamState.java
@@ -24,6 +24,9 @@
     private final AtomicInteger inFlightCount = new AtomicInteger();
     private final AtomicLong failureHoldDeadlineMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong suspectDeadlineMillis = new AtomicLong(NEVER_MILLIS);
+    private final AtomicLong downAtMillis = new AtomicLong(NEVER_MILLIS);
+    private final AtomicReference<@Nullable Object> isolationOwner = new AtomicReference<>();
+    private final ConcurrencyTarget concurrencyTarget = new ConcurrencyTarget();
     private final AtomicReference<@Nullable Heartbeat> heartbeat = new AtomicReference<>();
 
     /** Creates the state of an upstream of which nothing is known but its addresses. */
@@ -59,6 +62,12 @@
     /** Records a heartbeat of the agent. A new incarnation of the upstream clears failures of the one before. */
     public void recordHeartbeat(UpstreamReport report, long nowMillis) {
         Heartbeat before = heartbeat.getAndSet(new Heartbeat(report, nowMillis, inFlightCount.get()));
+        concurrencyTarget.record(report.runningCount(), report.waitingCount());
+        if (before != null
+                && before.report.upstreamAlive()
+                && (!report.upstreamAlive() || before.report.upstreamIncarnation() != report.upstreamIncarnation())) {
+            downAtMillis.set(nowMillis);
+        }
         if (before != null && before.report.upstreamIncarnation() != report.upstreamIncarnation()) {
             failureHoldDeadlineMillis.set(NEVER_MILLIS);
             suspectDeadlineMillis.set(NEVER_MILLIS);
@@ -87,6 +96,37 @@
         return nowMillis < suspectDeadlineMillis.get();
     }
 
+    /** Returns how many requests this upstream should have at once, over all routers. */
+    public int concurrencyTarget() {
+        return concurrencyTarget.get();
+    }
+
+    /** Returns when a heartbeat last showed that the upstream's process had ended, or a time long past. */
+    public long downAtMillis() {
+        return downAtMillis.get();
+    }
+
+    /** Returns when the last heartbeat arrived, or a time long past. */
+    public long heartbeatAtMillis() {
+        Heartbeat last = heartbeat.get();
+        return last == null ? NEVER_MILLIS : last.receivedAtMillis;
+    }
+
+    /** Keeps new work of others away until {@link #endIsolation}; returns whether the owner has the upstream now. */
+    public boolean isolate(Object owner) {
+        return isolationOwner.compareAndSet(null, owner) || isolationOwner.get() == owner;
+    }
+
+    /** Lets others send new work again. */
+    public void endIsolation(Object owner) {
+        isolationOwner.compareAndSet(owner, null);
+    }
+
+    /** Returns whether new work is kept away because a suspected request runs alone here. */
+    public boolean isIsolated() {
+        return isolationOwner.get() != null;
+    }
+
     /** Returns the last report, or null if there is none. */
     public @Nullable UpstreamReport report() {
         Heartbeat last = heartbeat.get();
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/Admission.java
@@ -0,0 +1,76 @@
+package io.laburnummoor.core.process;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.request.AdmissionTicket;
+import io.laburnummoor.core.request.SerialExecutor;
+
+/**
+ * The admission of a router: puts the events of all threads in order for the {@link AdmissionScheduler}.
+ *
+ * <p>A thread only adds its event to a lock-free queue; the thread that finds the queue empty handles the events.
+ * Decisions take microseconds and call no blocking code, so that no thread waits for another.
+ */
+public final class Admission {
+    private final AdmissionScheduler scheduler;
+    private final Clock clock;
+    private final SerialExecutor serial;
+    private final Snapshot<Demand> demand = new Snapshot<>(new Demand(Map.of(), Map.of(), 0, 0));
+
+    /** Creates an admission without any request; unexpected failures of listeners go to the handler. */
+    public Admission(AdmissionLimits limits, AdmissionPolicy policy, Clock clock, Consumer<Throwable> failureHandler) {
+        this.scheduler = new AdmissionScheduler(limits, policy);
+        this.clock = clock;
+        this.serial = new SerialExecutor(failureHandler);
+    }
+
+    /** Handles a new request; its listener is told the decision, possibly before this method returns. */
+    public void submit(AdmissionTicket ticket) {
+        serial.execute(() -> scheduler.submit(ticket, clock.nowMillis()));
+    }
+
+    /** Handles the end of a granted request. */
+    public void release(AdmissionTicket ticket, int generatedTokens) {
+        serial.execute(() -> scheduler.release(ticket, generatedTokens, clock.nowMillis()));
+    }
+
+    /** Checks the deadlines and refreshes {@link #demand()}. */
+    public void tick() {
+        serial.execute(() -> {
+            scheduler.tick(clock.nowMillis());
+            Map<String, Integer> organisations = new HashMap<>();
+            Map<String, Integer> services = new HashMap<>();
+            scheduler.forEachDemand(organisations::put, services::put);
+            demand.replace(new Demand(
+                    Map.copyOf(organisations),
+                    Map.copyOf(services),
+                    scheduler.waitingCount(),
+                    scheduler.runningCount()));
+        });
+    }
+
+    /** Refuses all waiting requests because the process stops. */
+    public void refuseAll() {
+        serial.execute(scheduler::refuseAll);
+    }
+
+    /** Returns the demand at the last tick. */
+    public Demand demand() {
+        return demand.get();
+    }
+
+    /**
+     * Running and waiting requests at one moment.
+     *
+     * @param organisations number of requests by organisation
+     * @param services number of requests by service
+     * @param waitingCount number of waiting requests
+     * @param runningCount number of running requests
+     */
+    public record Demand(
+            Map<String, Integer> organisations, Map<String, Integer> services, int waitingCount, int runningCount) {}
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AdmissionPolicy.java
@@ -0,0 +1,20 @@
+package io.laburnummoor.core.process;
+
+import io.laburnummoor.core.request.Priority;
+
+/**
+ * How long and how many requests may wait for admission on one router.
+ *
+ * @param interactiveMillis longest wait of interactive and resumed requests
+ * @param batchMillis longest wait of batch requests
+ * @param maxQueued greatest number of waiting requests
+ */
+public record AdmissionPolicy(long interactiveMillis, long batchMillis, int maxQueued) {
+    /** Waits that today's callers accept, and a queue that takes about 1 MB at bodies of 1 KB. */
+    public static final AdmissionPolicy STANDARD = new AdmissionPolicy(2_000, 30_000, 1_000);
+
+    /** Returns the longest wait of a priority class. */
+    public long maxWaitMillis(Priority priority) {
+        return priority == Priority.BATCH ? batchMillis : interactiveMillis;
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AdmissionScheduler.java
@@ -0,0 +1,352 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ObjIntConsumer;
+
+import io.laburnummoor.core.ErrorCode;
+import io.laburnummoor.core.request.AdmissionTicket;
+import io.laburnummoor.core.request.Priority;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides which requests start, wait or are refused. A deterministic state machine without a clock or a lock; events
+ * must arrive one at a time (see {@link Admission}).
+ *
+ * <p>Resumed requests go first and may exceed a service's concurrency by a quarter. Interactive requests go before
+ * batch requests, but one grant in eight is a batch request's while any waits. Organisations take turns by request, the
+ * callers of one organisation by deficit round robin over the tokens they ask for.
+ */
+public final class AdmissionScheduler {
+    /** One grant in this many goes to a batch request while one waits, so that batch work is never starved. */
+    static final int BATCH_TURN = 8;
+    /** Tokens that a caller may ask for in each round of its organisation: the default of {@code max_tokens}. */
+    static final long QUANTUM_TOKENS = 256;
+
+    private static final int RESUMED_EXCESS_DIVISOR = 4;
+    private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
+    private static final int HOLD_WEIGHT_SHIFT = 4;
+
+    private final AdmissionLimits limits;
+    private final AdmissionPolicy policy;
+    private final Map<String, ServiceQueue> services = new HashMap<>();
+    private final Map<String, OrganisationUsage> usages = new HashMap<>();
+    private final Map<AdmissionTicket, Long> waitingDeadlinesMillis = new LinkedHashMap<>();
+    private final Map<AdmissionTicket, Long> grantedAtMillis = new HashMap<>();
+
+    /** Creates a scheduler without any request. */
+    public AdmissionScheduler(AdmissionLimits limits, AdmissionPolicy policy) {
+        this.limits = limits;
+        this.policy = policy;
+    }
+
+    /** Handles a new request: it starts, waits, or is refused because its estimated wait is too long. */
+    public void submit(AdmissionTicket ticket, long nowMillis) {
+        ServiceQueue service = services.computeIfAbsent(ticket.service(), added -> new ServiceQueue());
+        service.add(ticket);
+        long maxWaitMillis = policy.maxWaitMillis(ticket.priority());
+        waitingDeadlinesMillis.put(ticket, nowMillis + maxWaitMillis);
+        dispatch(ticket.service(), service, nowMillis);
+        if (!waitingDeadlinesMillis.containsKey(ticket)) {
+            return;
+        }
+        long serviceWaitMillis = estimateServiceMillis(service, ticket);
+        long organisationWaitMillis = estimateOrganisationMillis(service, ticket, nowMillis);
+        long waitMillis = Math.max(serviceWaitMillis, organisationWaitMillis);
+        if (waitMillis > maxWaitMillis || waitingDeadlinesMillis.size() > policy.maxQueued()) {
+            refuse(ticket, organisationWaitMillis > serviceWaitMillis, waitMillis);
+        }
+    }
+
+    /** Handles the end of a granted request that has generated the given number of tokens. */
+    public void release(AdmissionTicket ticket, int generatedTokens, long nowMillis) {
+        Long startMillis = grantedAtMillis.remove(ticket);
+        if (startMillis == null) {
+            return;
+        }
+        ServiceQueue service = services.computeIfAbsent(ticket.service(), added -> new ServiceQueue());
+        service.runningCount--;
+        service.recordHold(nowMillis - startMillis);
+        OrganisationUsage usage = usage(ticket, nowMillis);
+        usage.runningCount--;
+        usage.tokens += Math.max(0, ticket.tokens() - generatedTokens);
+        dispatchAll(nowMillis);
+    }
+
+    /** Refuses requests whose deadline passed and starts those that changed limits let in. */
+    public void tick(long nowMillis) {
+        dispatchAll(nowMillis);
+        List<AdmissionTicket> late = new ArrayList<>();
+        waitingDeadlinesMillis.forEach((ticket, deadlineMillis) -> {
+            if (nowMillis >= deadlineMillis) {
+                late.add(ticket);
+            }
+        });
+        for (AdmissionTicket each : late) {
+            boolean byLimit = !usage(each, nowMillis).isBelowLimit(each.organisation());
+            refuse(each, byLimit, MIN_RETRY_AFTER_MILLIS);
+        }
+        usages.entrySet()
+                .removeIf(each -> each.getValue().isIdle(each.getKey())
+                        && waitingDeadlinesMillis.keySet().stream()
+                                .noneMatch(ticket -> ticket.organisation().equals(each.getKey())));
+    }
+
+    /** Refuses all waiting requests because the process stops. */
+    public void refuseAll() {
+        for (AdmissionTicket each : List.copyOf(waitingDeadlinesMillis.keySet())) {
+            remove(each);
+            each.listener().onRefused(ErrorCode.STOPPING, "this router is stopping", MIN_RETRY_AFTER_MILLIS);
+        }
+    }
+
+    /** Returns the number of waiting requests. */
+    public int waitingCount() {
+        return waitingDeadlinesMillis.size();
+    }
+
+    /** Returns the number of granted requests that have not ended. */
+    public int runningCount() {
+        return grantedAtMillis.size();
+    }
+
+    /** Passes each organisation and service with its number of running and waiting requests. */
+    public void forEachDemand(ObjIntConsumer<String> organisations, ObjIntConsumer<String> serviceNames) {
+        Map<String, Integer> byOrganisation = new HashMap<>();
+        Map<String, Integer> byService = new HashMap<>();
+        for (AdmissionTicket each : waitingDeadlinesMillis.keySet()) {
+            byOrganisation.merge(each.organisation(), 1, Integer::sum);
+            byService.merge(each.service(), 1, Integer::sum);
+        }
+        for (AdmissionTicket each : grantedAtMillis.keySet()) {
+            byOrganisation.merge(each.organisation(), 1, Integer::sum);
+            byService.merge(each.service(), 1, Integer::sum);
+        }
+        byOrganisation.forEach(organisations::accept);
+        byService.forEach(serviceNames::accept);
+    }
+
+    private void dispatchAll(long nowMillis) {
+        services.forEach((name, queue) -> dispatch(name, queue, nowMillis));
+    }
+
+    private void dispatch(String name, ServiceQueue queue, long nowMillis) {
+        int capacity = limits.serviceConcurrency(name);
+        while (true) {
+            AdmissionTicket next = queue.next(capacity, nowMillis);
+            if (next == null) {
+                return;
+            }
+            waitingDeadlinesMillis.remove(next);
+            grantedAtMillis.put(next, nowMillis);
+            queue.runningCount++;
+            OrganisationUsage usage = usage(next, nowMillis);
+            usage.runningCount++;
+            usage.tokens -= next.tokens();
+            next.listener().onGranted();
+        }
+    }
+
+    private void refuse(AdmissionTicket ticket, boolean byLimit, long waitMillis) {
+        remove(ticket);
+        long retryAfterMillis = Math.max(waitMillis, MIN_RETRY_AFTER_MILLIS);
+        if (byLimit) {
+            ticket.listener()
+                    .onRefused(ErrorCode.LIMIT_EXCEEDED, "a limit of the organisation is reached", retryAfterMillis);
+        } else {
+            ticket.listener()
+                    .onRefused(
+                            ErrorCode.OVERLOADED, "the request would wait longer than its deadline", retryAfterMillis);
+        }
+    }
+
+    private void remove(AdmissionTicket ticket) {
+        waitingDeadlinesMillis.remove(ticket);
+        ServiceQueue queue = services.get(ticket.service());
+        if (queue != null) {
+            queue.remove(ticket);
+        }
+    }
+
+    /** Estimates the wait behind the requests of other organisations, which take turns with this one. */
+    private long estimateServiceMillis(ServiceQueue service, AdmissionTicket ticket) {
+        int capacity = Math.max(1, limits.serviceConcurrency(ticket.service()));
+        long ahead = service.aheadInOrganisation(ticket);
+        ClassQueue queue = service.classQueue(ticket.priority());
+        long aheadInClass = Math.min(queue.size, (ahead + 1) * queue.byOrganisation.size());
+        long aheadInHigherClass = ticket.priority() == Priority.BATCH ? service.interactive.size : 0;
+        return (aheadInClass + aheadInHigherClass) * service.holdMillis / capacity;
+    }
+
+    private long estimateOrganisationMillis(ServiceQueue service, AdmissionTicket ticket, long nowMillis) {
+        OrganisationUsage usage = usage(ticket, nowMillis);
+        long waitMillis = 0;
+        int limit = Math.max(1, limits.organisationConcurrency(ticket.organisation()));
+        if (usage.runningCount >= limit) {
+            waitMillis = (service.aheadInOrganisation(ticket) + 1) * service.holdMillis / limit;
+        }
+        if (usage.tokens <= 0) {
+            double rate = Math.max(1, limits.organisationTokensPerSecond(ticket.organisation()));
+            waitMillis = Math.max(waitMillis, (long) (-usage.tokens / rate * 1_000) + 1);
+        }
+        return waitMillis;
+    }
+
+    private OrganisationUsage usage(AdmissionTicket ticket, long nowMillis) {
+        return usage(ticket.organisation(), nowMillis);
+    }
+
+    private OrganisationUsage usage(String organisation, long nowMillis) {
+        OrganisationUsage usage =
+                usages.computeIfAbsent(organisation, added -> new OrganisationUsage(added, nowMillis));
+        usage.refill(organisation, nowMillis);
+        return usage;
+    }
+
+    /**
+     * What an organisation uses. The greatest number of tokens is charged at the start and the unused rest is given
+     * back at the end, so that a burst of starts cannot exceed the rate.
+     */
+    private final class OrganisationUsage {
+        private int runningCount;
+        private double tokens;
+        private long refilledAtMillis;
+
+        OrganisationUsage(String organisation, long nowMillis) {
+            tokens = limits.organisationTokensPerSecond(organisation);
+            refilledAtMillis = nowMillis;
+        }
+
+        /** Refills the bucket, which holds the tokens of one second. */
+        void refill(String organisation, long nowMillis) {
+            double rate = limits.organisationTokensPerSecond(organisation);
+            tokens = Math.min(rate, tokens + rate * (nowMillis - refilledAtMillis) / 1_000);
+            refilledAtMillis = nowMillis;
+        }
+
+        boolean isBelowLimit(String organisation) {
+            return runningCount < limits.organisationConcurrency(organisation) && tokens > 0;
+        }
+
+        boolean isIdle(String organisation) {
+            return runningCount == 0 && tokens >= limits.organisationTokensPerSecond(organisation);
+        }
+    }
+
+    private final class ServiceQueue {
+        private final ArrayDeque<AdmissionTicket> resumed = new ArrayDeque<>();
+        private final ClassQueue interactive = new ClassQueue();
+        private final ClassQueue batch = new ClassQueue();
+        private int runningCount;
+        private int grantsSinceBatch;
+        private long holdMillis;
+
+        void add(AdmissionTicket ticket) {
+            if (ticket.priority() == Priority.RESUMED) {
+                resumed.addLast(ticket);
+            } else {
+                classQueue(ticket.priority()).add(ticket);
+            }
+        }
+
+        void remove(AdmissionTicket ticket) {
+            if (ticket.priority() == Priority.RESUMED) {
+                resumed.remove(ticket);
+            } else {
+                classQueue(ticket.priority()).remove(ticket);
+            }
+        }
+
+        ClassQueue classQueue(Priority priority) {
+            return priority == Priority.BATCH ? batch : interactive;
+        }
+
+        /** Under fair turns only as many requests of other callers go first as the own caller has waiting. */
+        long aheadInOrganisation(AdmissionTicket ticket) {
+            DeficitRoundRobin<AdmissionTicket> callers =
+                    classQueue(ticket.priority()).byOrganisation.get(ticket.organisation());
+            if (callers == null) {
+                return 0;
+            }
+            return Math.min(callers.size() - 1, (long) callers.sizeOf(ticket.caller()) * callers.keyCount());
+        }
+
+        /** Takes the next request that may start, or null. */
+        @Nullable
+        AdmissionTicket next(int capacity, long nowMillis) {
+            if (!resumed.isEmpty() && runningCount < capacity + excess(capacity)) {
+                return resumed.removeFirst();
+            }
+            if (runningCount >= capacity) {
+                return null;
+            }
+            boolean batchTurn = grantsSinceBatch >= BATCH_TURN - 1;
+            AdmissionTicket first = (batchTurn ? batch : interactive).poll(nowMillis);
+            AdmissionTicket next = first != null ? first : (batchTurn ? interactive : batch).poll(nowMillis);
+            if (next != null) {
+                grantsSinceBatch = next.priority() == Priority.BATCH || batch.size == 0 ? 0 : grantsSinceBatch + 1;
+            }
+            return next;
+        }
+
+        /** Keeps the sum from overflowing when the capacity is not bounded. */
+        private int excess(int capacity) {
+            return Math.min(Integer.MAX_VALUE - capacity, Math.max(1, capacity / RESUMED_EXCESS_DIVISOR));
+        }
+
+        void recordHold(long millis) {
+            holdMillis = holdMillis == 0 ? millis : holdMillis + ((millis - holdMillis) >> HOLD_WEIGHT_SHIFT);
+        }
+    }
+
+    /** The waiting requests of one priority class; organisations take turns. */
+    private final class ClassQueue {
+        private final Map<String, DeficitRoundRobin<AdmissionTicket>> byOrganisation = new LinkedHashMap<>();
+        private int size;
+
+        void add(AdmissionTicket ticket) {
+            byOrganisation
+                    .computeIfAbsent(
+                            ticket.organisation(),
+                            added -> new DeficitRoundRobin<>(QUANTUM_TOKENS, AdmissionTicket::tokens))
+                    .offer(ticket.caller(), ticket);
+            size++;
+        }
+
+        void remove(AdmissionTicket ticket) {
+            DeficitRoundRobin<AdmissionTicket> callers = byOrganisation.get(ticket.organisation());
+            if (callers == null) {
+                return;
+            }
+            callers.remove(ticket.caller(), ticket);
+            size--;
+            if (callers.size() == 0) {
+                byOrganisation.remove(ticket.organisation());
+            }
+        }
+
+        /** Takes a request of the first organisation that is below its limits and moves it behind the others. */
+        @Nullable
+        AdmissionTicket poll(long nowMillis) {
+            for (Map.Entry<String, DeficitRoundRobin<AdmissionTicket>> each : byOrganisation.entrySet()) {
+                String organisation = each.getKey();
+                if (!usage(organisation, nowMillis).isBelowLimit(organisation)) {
+                    continue;
+                }
+                DeficitRoundRobin<AdmissionTicket> callers = each.getValue();
+                AdmissionTicket next = callers.poll();
+                size--;
+                byOrganisation.remove(organisation);
+                if (callers.size() > 0) {
+                    byOrganisation.put(organisation, callers);
+                }
+                return next;
+            }
+            return null;
+        }
+    }
+}
