--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/DemandTable.java
@@ -0,0 +1,178 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.connection.RouterDemand;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The demand that routers have announced to each other, and this router's share of each limit.
+ *
+ * <p>A share is the router's part of the announced demand, at least one part in the number of routers. It falls at once
+ * and rises only to the smallest value of the last rounds: within those rounds every router has heard of a rise
+ * elsewhere, so two routers do not use the same part of a limit.
+ */
+public final class DemandTable {
+    /** Time after which an announcement that was not renewed is dropped. */
+    static final long EXPIRY_MILLIS = 15_000;
+    /** An unchanged announcement is renewed after this time. */
+    static final long RENEWAL_MILLIS = 5_000;
+    /** A change by less than this part is not announced before the renewal, to save traffic. */
+    private static final double ANNOUNCED_CHANGE = 0.25;
+
+    private final String self;
+    private final ConcurrentHashMap<String, Known> knownByRouter = new ConcurrentHashMap<>();
+    private final Snapshot<Map<Long, Double>> shares = new Snapshot<>(Map.of());
+    private final Map<Long, double[]> recentShares = new HashMap<>();
+    private volatile int routerCount = 1;
+    private int round;
+
+    /** Creates a table of the router with the given name. */
+    public DemandTable(String self) {
+        this.self = self;
+    }
+
+    /** Returns the key of an organisation. */
+    public static long organisationKey(String organisation) {
+        return RendezvousHash.hash("organisation/" + organisation);
+    }
+
+    /** Returns the key of a service. */
+    public static long serviceKey(String service) {
+        return RendezvousHash.hash("service/" + service);
+    }
+
+    /**
+     * Starts a round: announces the own demand if it changed enough and computes the shares. Called by one thread.
+     *
+     * @param routers number of routers, this one included
+     * @param sequence number of the announcement; the wall clock serves, because it increases over restarts
+     */
+    public void startRound(Map<Long, Integer> own, int routers, long sequence, long nowMillis) {
+        routerCount = Math.max(1, routers);
+        Known before = knownByRouter.get(self);
+        if (before == null
+                || nowMillis - before.receivedAtMillis >= RENEWAL_MILLIS
+                || hasChanged(before.demand.demandByKey(), own)) {
+            RouterDemand demand = new RouterDemand(self, sequence, Map.copyOf(own));
+            knownByRouter.put(self, new Known(demand, nowMillis, sendBudget()));
+        }
+        knownByRouter.values().removeIf(each -> nowMillis - each.receivedAtMillis >= EXPIRY_MILLIS);
+        computeShares();
+    }
+
+    /** Returns announcements to send to one peer; each is sent a few times in all. */
+    public List<RouterDemand> takeRumours(int maxCount) {
+        List<RouterDemand> rumours = new ArrayList<>();
+        for (Map.Entry<String, Known> each : knownByRouter.entrySet()) {
+            if (rumours.size() >= maxCount) {
+                break;
+            }
+            Known known = each.getValue();
+            if (known.sendsLeft > 0 && knownByRouter.replace(each.getKey(), known, known.sentOnce())) {
+                rumours.add(known.demand);
+            }
+        }
+        return rumours;
+    }
+
+    /** Takes over newer announcements of other routers. */
+    public void merge(List<RouterDemand> received, long nowMillis) {
+        for (RouterDemand each : received) {
+            if (!each.router().equals(self)) {
+                knownByRouter.compute(
+                        each.router(),
+                        (router, known) -> known != null && known.demand.sequence() >= each.sequence()
+                                ? known
+                                : new Known(each, nowMillis, sendBudget()));
+            }
+        }
+    }
+
+    /** Returns this router's share of the limit with the given key, from 1 / routers to 1. */
+    public double share(long key) {
+        return shares.get().getOrDefault(key, 1.0 / routerCount);
+    }
+
+    /** Returns the number of routers whose announcement is known. */
+    public int knownRouterCount() {
+        return knownByRouter.size();
+    }
+
+    /** A rumour that each router sends this often reaches all of them with high probability. */
+    private int sendBudget() {
+        return 2 + log2(routerCount);
+    }
+
+    /** Rounds in which a rumour reaches all routers. */
+    private int delayRounds() {
+        return routerCount == 1 ? 1 : 3 + log2(routerCount);
+    }
+
+    private void computeShares() {
+        Known own = knownByRouter.get(self);
+        if (own == null) {
+            return;
+        }
+        double floor = 1.0 / routerCount;
+        int window = delayRounds();
+        round++;
+        Map<Long, Double> next = new HashMap<>();
+        Map<Long, Long> totals = totals(own.demand.demandByKey());
+        recentShares.keySet().retainAll(totals.keySet());
+        totals.forEach((key, total) -> {
+            double wanted = (double) own.demand.demandByKey().getOrDefault(key, 0) / Math.max(1, total);
+            double[] recent = recentShares.compute(key, (k, known) -> sized(known, window, floor));
+            recent[round % window] = wanted;
+            double smallest = wanted;
+            for (double each : recent) {
+                smallest = Math.min(smallest, each);
+            }
+            next.put(key, Math.max(floor, smallest));
+        });
+        shares.replace(Map.copyOf(next));
+    }
+
+    private Map<Long, Long> totals(Map<Long, Integer> own) {
+        Map<Long, Long> totals = new HashMap<>();
+        own.forEach((key, count) -> totals.put(key, 0L));
+        for (Known each : knownByRouter.values()) {
+            each.demand.demandByKey().forEach((key, count) -> totals.computeIfPresent(key, (k, sum) -> sum + count));
+        }
+        return totals;
+    }
+
+    private static double[] sized(double @Nullable [] known, int window, double floor) {
+        if (known != null && known.length == window) {
+            return known;
+        }
+        double[] created = new double[window];
+        java.util.Arrays.fill(created, floor);
+        return created;
+    }
+
+    private static boolean hasChanged(Map<Long, Integer> before, Map<Long, Integer> now) {
+        if (!before.keySet().equals(now.keySet())) {
+            return true;
+        }
+        return now.entrySet().stream().anyMatch(each -> {
+            int old = before.getOrDefault(each.getKey(), 0);
+            return Math.abs(each.getValue() - old) > Math.max(1, ANNOUNCED_CHANGE * old);
+        });
+    }
+
+    private static int log2(int value) {
+        return Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, value - 1));
+    }
+
+    private record Known(RouterDemand demand, long receivedAtMillis, int sendsLeft) {
+        Known sentOnce() {
+            return new Known(demand, receivedAtMillis, sendsLeft - 1);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/SharedLimits.java
@@ -0,0 +1,63 @@
+package io.laburnummoor.core.process;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.version.OrganisationDeclaration;
+
+/** This router's part of the declared limits of organisations and of the learned concurrency of engines. */
+public final class SharedLimits implements AdmissionLimits {
+    private final ConfigHolder config;
+    private final RoutingTable routing;
+    private final DemandTable demand;
+    private final Clock clock;
+    private final Snapshot<Map<String, Integer>> concurrencyByService = new Snapshot<>(Map.of());
+
+    /** Creates limits that follow the given configuration, upstreams and demand. */
+    public SharedLimits(ConfigHolder config, RoutingTable routing, DemandTable demand, Clock clock) {
+        this.config = config;
+        this.routing = routing;
+        this.demand = demand;
+        this.clock = clock;
+    }
+
+    /** Computes the concurrency of the services from the upstreams that are available now. */
+    public void refresh() {
+        long nowMillis = clock.nowMillis();
+        Map<String, Integer> targets = new HashMap<>();
+        for (UpstreamState each : routing.snapshot().all()) {
+            if (each.isAvailable(nowMillis)) {
+                targets.merge(each.upstream().service(), each.concurrencyTarget(), Integer::sum);
+            }
+        }
+        targets.replaceAll((service, target) -> part(target, DemandTable.serviceKey(service)));
+        concurrencyByService.replace(Map.copyOf(targets));
+    }
+
+    /** Not bounded while no upstream is available: the request then fails with the reason for that. */
+    @Override
+    public int serviceConcurrency(String service) {
+        return concurrencyByService.get().getOrDefault(service, Integer.MAX_VALUE);
+    }
+
+    @Override
+    public int organisationConcurrency(String organisation) {
+        OrganisationDeclaration declared = config.current().organisation(organisation);
+        return declared == null ? 1 : part(declared.maxConcurrent(), DemandTable.organisationKey(organisation));
+    }
+
+    @Override
+    public double organisationTokensPerSecond(String organisation) {
+        OrganisationDeclaration declared = config.current().organisation(organisation);
+        return declared == null
+                ? 1
+                : Math.max(1, declared.tokensPerSecond() * demand.share(DemandTable.organisationKey(organisation)));
+    }
+
+    private int part(int limit, long key) {
+        return Math.max(1, (int) Math.ceil(limit * demand.share(key)));
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/Suspect.java
@@ -0,0 +1,82 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.laburnummoor.core.connection.CrashRecord;
+
+/**
+ * What is known about a fingerprint that ran on upstreams when they crashed; immutable. Merging is commutative and
+ * idempotent, so that routers agree whatever the order of their messages.
+ *
+ * @param fingerprint digest of service and body
+ * @param crashes counted crashes, at most one for each upstream
+ * @param clearedAtMillis wall-clock time up to which crashes do not count, because the request later ran alone to its
+ *     end
+ * @param deadlineMillis wall-clock time at which this is forgotten
+ */
+public record Suspect(String fingerprint, List<CrashRecord> crashes, long clearedAtMillis, long deadlineMillis) {
+    /** Crashes on this many upstreams block a request, if one of them happened while it ran alone. */
+    public static final int BLOCKING_CRASHES = 3;
+    /**
+     * Crashes on this many upstreams block a request even if it never ran alone: when no upstream can be kept free, a
+     * harmful request would otherwise go on for ever.
+     */
+    public static final int BLOCKING_CRASHES_UNISOLATED = 6;
+
+    /** After crashes on this many upstreams, the next attempt runs alone. */
+    static final int ISOLATION_CRASHES = 2;
+
+    /** Returns a fingerprint without crashes. */
+    static Suspect unknown(String fingerprint) {
+        return new Suspect(fingerprint, List.of(), 0, 0);
+    }
+
+    /** Returns whether the request must not run any more. */
+    public boolean isBlocked() {
+        return crashes.size() >= BLOCKING_CRASHES_UNISOLATED
+                || (crashes.size() >= BLOCKING_CRASHES && crashes.stream().anyMatch(CrashRecord::isolated));
+    }
+
+    boolean needsIsolation() {
+        return crashes.size() >= ISOLATION_CRASHES;
+    }
+
+    Suspect withCrash(CrashRecord crash, long newDeadlineMillis) {
+        return merge(new Suspect(fingerprint, List.of(crash), clearedAtMillis, newDeadlineMillis));
+    }
+
+    Suspect cleared(long atMillis, long newDeadlineMillis) {
+        return merge(new Suspect(fingerprint, List.of(), atMillis, newDeadlineMillis));
+    }
+
+    Suspect merge(Suspect other) {
+        long cleared = Math.max(clearedAtMillis, other.clearedAtMillis);
+        Map<String, CrashRecord> byUpstream = new LinkedHashMap<>();
+        addAfter(cleared, crashes, byUpstream);
+        addAfter(cleared, other.crashes, byUpstream);
+        return new Suspect(
+                fingerprint,
+                List.copyOf(new ArrayList<>(byUpstream.values())),
+                cleared,
+                Math.max(deadlineMillis, other.deadlineMillis));
+    }
+
+    private static void addAfter(long clearedAtMillis, List<CrashRecord> added, Map<String, CrashRecord> byUpstream) {
+        for (CrashRecord each : added) {
+            if (each.crashedAtMillis() > clearedAtMillis) {
+                byUpstream.merge(each.upstreamId(), each, Suspect::stronger);
+            }
+        }
+    }
+
+    /** Of two crashes on one upstream the isolated one counts, otherwise the later one. */
+    private static CrashRecord stronger(CrashRecord one, CrashRecord other) {
+        if (one.isolated() != other.isolated()) {
+            return one.isolated() ? one : other;
+        }
+        return one.crashedAtMillis() >= other.crashedAtMillis() ? one : other;
+    }
+}
