Wire admission, the exchange and the quarantine into the router

A generation starts once the admission grants it; refusals carry Retry-After from the estimated wait. Lost connections are reported to the quarantine, and a request that ran on two crashed upstreams goes on alone.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -21,11 +22,17 @@
     private static final int STATUS_UNAVAILABLE = 503;
     private static final long PAUSE_POLL_MILLIS = 5;
     private static final int EXIT_KILLED = 137;
+    /** A prompt with this text kills the engine that generates from it. */
+    static final String CRASHING_TEXT = "crash-the-engine";
+
+    private static final int TOKENS_BEFORE_CRASH = 5;
 
     private final EngineSettings settings;
     private final long incarnation;
     private final SplittableRandom random;
     private final AtomicInteger runningCount = new AtomicInteger();
+    private final AtomicInteger waitingCount = new AtomicInteger();
+    private final Semaphore slots;
     private final AtomicLong generatedTokens = new AtomicLong();
     private final AtomicLong prefilledTokens = new AtomicLong();
     private volatile boolean dead;
@@ -36,6 +43,7 @@
     public EngineStandIn(String host, int port, EngineSettings settings) {
         super(host, port);
         this.settings = settings;
+        this.slots = new Semaphore(settings.slots(), true);
         this.random = new SplittableRandom(settings.seed());
         this.incarnation = random.nextLong() & Long.MAX_VALUE;
         route("/v1/completions", this::complete);
@@ -64,6 +72,11 @@
         leaving = true;
     }
 
+    /** Returns whether the engine has died. */
+    public boolean isDead() {
+        return dead;
+    }
+
     /** Returns the number of streams that run now. */
     public int runningCount() {
         return runningCount.get();
@@ -84,7 +97,7 @@
         ObjectNode body = MAPPER.createObjectNode();
         body.put("incarnation", incarnation);
         body.put("running", runningCount.get());
-        body.put("waiting", 0);
+        body.put("waiting", waitingCount.get());
         body.put("version", settings.version());
         body.put("leaving", leaving);
         body.putArray("adapters");
@@ -97,6 +110,14 @@
             writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("code", "leaving"));
             return;
         }
+        try {
+            exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+            exchange.sendResponseHeaders(STATUS_OK, 0);
+            awaitSlot();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            return;
+        }
         runningCount.incrementAndGet();
         try {
             stream(exchange, request);
@@ -104,6 +125,7 @@
             Thread.currentThread().interrupt();
         } finally {
             runningCount.decrementAndGet();
+            slots.release();
         }
     }
 
@@ -117,12 +139,13 @@
             state = oracle.advance(state, id.asInt());
         }
         prefilledTokens.addAndGet(prompt.split(" ").length + prefix.size());
-        exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
-        exchange.sendResponseHeaders(STATUS_OK, 0);
         OutputStream output = exchange.getResponseBody();
         Thread.sleep(settings.firstTokenMillis());
         for (int offset = prefix.size(); offset < maxTokens; offset++) {
             awaitUnpaused();
+            if (offset >= TOKENS_BEFORE_CRASH && prompt.contains(CRASHING_TEXT)) {
+                die();
+            }
             Token token = oracle.successor(state, nextVariant());
             state = oracle.advance(state, token.id());
             generatedTokens.incrementAndGet();
@@ -138,6 +161,15 @@
         write(output, MAPPER.createObjectNode().put("offset", maxTokens).put("finish_reason", "length"));
     }
 
+    private void awaitSlot() throws InterruptedException {
+        waitingCount.incrementAndGet();
+        try {
+            slots.acquire();
+        } finally {
+            waitingCount.decrementAndGet();
+        }
+    }
+
     private synchronized int nextVariant() {
         return random.nextInt(TokenOracle.VARIANTS);
     }
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -116,7 +116,8 @@
                 settings.version(),
                 settings.firstTokenMillis(),
                 settings.gapMillis(),
-                settings.seed() + engines.size());
+                settings.seed() + engines.size(),
+                settings.slots());
         engines.add(new EngineNode(id, domain, own));
     }
 
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -13,7 +13,11 @@
 final class ScenarioCommand implements BenchCommand {
     private static final int EXIT_USAGE = 2;
 
-    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of("resume", new ResumeScenario()));
+    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of(
+            "resume", new ResumeScenario(),
+            "overload", new OverloadScenario(),
+            "crash-request", new CrashRequestScenario(),
+            "exchange", new ExchangeScenario()));
 
     @Parameter(description = "name of the scenario", required = true)
     private List<String> names = new ArrayList<>();
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/request/StreamClient.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/request/StreamClient.java
@@ -22,11 +22,18 @@
 
     private final HttpClient http;
     private final String key;
+    private final @Nullable String caller;
 
     /** Creates a caller that presents the given key. */
     public StreamClient(HttpClient http, String key) {
+        this(http, key, null);
+    }
+
+    /** Creates a caller that presents the given key and its own name inside the organisation. */
+    public StreamClient(HttpClient http, String key, @Nullable String caller) {
         this.http = http;
         this.key = key;
+        this.caller = caller;
     }
 
     /**
@@ -50,6 +57,9 @@
                 .header("Authorization", "Bearer " + key)
                 .header("Content-Type", "application/json")
                 .POST(HttpRequest.BodyPublishers.ofString(body.toString()));
+        if (caller != null) {
+            request.header("X-Caller-Id", caller);
+        }
         if (idempotencyKey != null) {
             request.header("Idempotency-Key", idempotencyKey);
         }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/SharedLimits.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/SharedLimits.java
@@ -14,6 +14,7 @@
     private final RoutingTable routing;
     private final DemandTable demand;
     private final Clock clock;
+    private final Snapshot<Map<String, Integer>> targetByService = new Snapshot<>(Map.of());
     private final Snapshot<Map<String, Integer>> concurrencyByService = new Snapshot<>(Map.of());
 
     /** Creates limits that follow the given configuration, upstreams and demand. */
@@ -33,10 +34,16 @@
                 targets.merge(each.upstream().service(), each.concurrencyTarget(), Integer::sum);
             }
         }
+        targetByService.replace(Map.copyOf(targets));
         targets.replaceAll((service, target) -> part(target, DemandTable.serviceKey(service)));
         concurrencyByService.replace(Map.copyOf(targets));
     }
 
+    /** Returns how many requests the available upstreams of a service should have at once, over all routers. */
+    public int serviceTarget(String service) {
+        return targetByService.get().getOrDefault(service, 0);
+    }
+
     /** Not bounded while no upstream is available: the request then fails with the reason for that. */
     @Override
     public int serviceConcurrency(String service) {
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/UpstreamSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/UpstreamSelector.java
@@ -62,6 +62,7 @@
         UpstreamReport report = candidate.report();
         return report != null
                 && candidate.isAvailable(context.nowMillis())
+                && !candidate.isIsolated()
                 && !context.excludedIds().contains(candidate.upstream().id())
                 && (context.version() == null || context.version().equals(report.version()))
                 && (context.adapter().isEmpty() || report.adapters().contains(context.adapter()));
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/CallerStream.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/CallerStream.java
@@ -22,6 +22,9 @@
     /** Ends the response normally. */
     void finish(int tokenCount, FinishReason reason);
 
+    /** Refuses the request before the response has started. */
+    void refuse(ErrorCode code, String detail, long retryAfterMillis);
+
     /** Ends the response with an error. */
     void fail(ErrorCode code, String detail);
 }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/Problem.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/Problem.java
@@ -11,7 +11,8 @@
     /** Media type of a problem document. */
     public static final MediaType MEDIA_TYPE = MediaType.valueOf("application/problem+json");
 
-    private static final int RETRY_AFTER_SECONDS = 1;
+    private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
 
     private Problem() {}
 
@@ -28,11 +29,16 @@
 
     /** Returns the response of an error, with {@code Retry-After} where a later try may succeed. */
     public static Response response(ErrorCode code, String detail) {
+        return response(code, detail, MIN_RETRY_AFTER_MILLIS);
+    }
+
+    /** Returns the response of an error; {@code Retry-After} is rounded up to whole seconds. */
+    public static Response response(ErrorCode code, String detail, long retryAfterMillis) {
         Response.ResponseBuilder builder = Response.status(code.httpStatus())
                 .type(MEDIA_TYPE)
                 .entity(document(code, detail).toString());
         if (isRetryable(code)) {
-            builder.header("Retry-After", RETRY_AFTER_SECONDS);
+            builder.header("Retry-After", (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
         }
         return builder.build();
     }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/SseCallerStream.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/SseCallerStream.java
@@ -63,6 +63,11 @@
         submit(() -> writeLast("done", data));
     }
 
+    @Override
+    public void refuse(ErrorCode code, String detail, long retryAfterMillis) {
+        response.resume(Problem.response(code, detail, retryAfterMillis));
+    }
+
     @Override
     public void fail(ErrorCode code, String detail) {
         if (!opened) {
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/WholeCallerStream.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/WholeCallerStream.java
@@ -48,6 +48,11 @@
                 .build());
     }
 
+    @Override
+    public void refuse(ErrorCode code, String detail, long retryAfterMillis) {
+        response.resume(Problem.response(code, detail, retryAfterMillis));
+    }
+
     @Override
     public void fail(ErrorCode code, String detail) {
         response.resume(Problem.response(code, detail));
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/GenerationRegistry.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/GenerationRegistry.java
@@ -6,7 +6,10 @@
 
 import io.laburnummoor.core.ErrorCode;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.Admission;
+import io.laburnummoor.core.request.AdmissionTicket;
 import io.laburnummoor.core.request.GenerationRequest;
+import io.laburnummoor.core.request.Priority;
 import io.laburnummoor.core.request.RequestId;
 import io.laburnummoor.core.request.ResumePosition;
 import io.laburnummoor.router.connection.CallerStream;
@@ -20,14 +23,24 @@
     private static final long TICK_MILLIS = 20;
 
     private final GenerationContext context;
+    private final Admission admission;
+    private final Runnable limitRefresh;
     private final long drainMillis;
     private final ConcurrentHashMap<RequestId, GenerationSession> sessions = new ConcurrentHashMap<>();
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final PeriodicTask timer = new PeriodicTask("generation-timer", TICK_MILLIS, this::tick);
 
-    /** Creates a registry whose stop waits for running generations for at most the drain time. */
-    public GenerationRegistry(GenerationContext context, long drainMillis) {
+    /**
+     * Creates a registry.
+     *
+     * @param admission decides when a generation starts
+     * @param limitRefresh computes the limits anew from the upstreams
+     * @param drainMillis time for which a stop waits for running generations
+     */
+    public GenerationRegistry(GenerationContext context, Admission admission, Runnable limitRefresh, long drainMillis) {
         this.context = context;
+        this.admission = admission;
+        this.limitRefresh = limitRefresh;
         this.drainMillis = drainMillis;
     }
 
@@ -39,9 +52,13 @@
      */
     public @Nullable GenerationSession submit(
             GenerationRequest request, CallerStream caller, @Nullable ResumePosition resume, boolean keyIsNew) {
-        GenerationSession created = new GenerationSession(request, context, () -> sessions.remove(request.id()));
+        if (context.quarantine().isBlocked(GenerationSession.fingerprint(request))) {
+            caller.fail(ErrorCode.REQUEST_QUARANTINED, "this request has crashed several upstreams");
+            return null;
+        }
+        AdmittedGeneration created = new AdmittedGeneration(request, caller, resume, keyIsNew);
         GenerationSession running =
-                stopping.get() ? sessions.get(request.id()) : sessions.putIfAbsent(request.id(), created);
+                stopping.get() ? sessions.get(request.id()) : sessions.putIfAbsent(request.id(), created.session);
         if (running != null) {
             return attach(running, request, caller, resume);
         }
@@ -49,8 +66,8 @@
             caller.fail(ErrorCode.STOPPING, "this router is stopping");
             return null;
         }
-        created.start(caller, resume, keyIsNew);
-        return created;
+        admission.submit(created.ticket);
+        return created.session;
     }
 
     /** Returns the number of running generations. */
@@ -67,6 +84,7 @@
     @Override
     public void stop() {
         stopping.set(true);
+        admission.refuseAll();
         long deadlineMillis = context.clock().nowMillis() + drainMillis;
         try {
             while (!sessions.isEmpty() && context.clock().nowMillis() < deadlineMillis) {
@@ -92,7 +110,52 @@
     }
 
     private void tick() {
+        limitRefresh.run();
+        admission.tick();
         Consumer<GenerationSession> onTick = GenerationSession::onTick;
         sessions.values().forEach(onTick);
     }
+
+    /** One generation and its place in the admission; it starts when it is granted. */
+    private final class AdmittedGeneration implements AdmissionTicket.Listener {
+        private final GenerationSession session;
+        private final AdmissionTicket ticket;
+        private final CallerStream caller;
+        private final @Nullable ResumePosition resume;
+        private final boolean keyIsNew;
+
+        AdmittedGeneration(
+                GenerationRequest request, CallerStream caller, @Nullable ResumePosition resume, boolean keyIsNew) {
+            this.caller = caller;
+            this.resume = resume;
+            this.keyIsNew = keyIsNew;
+            // An offset above 0 proves that the answer had started; offset 0 would let any caller pass before others.
+            boolean resumed = resume != null && resume.offset() > 0;
+            this.ticket = new AdmissionTicket(
+                    request.service(),
+                    request.id().organisation(),
+                    request.caller(),
+                    resumed ? Priority.RESUMED : request.priority(),
+                    request.maxTokens(),
+                    this);
+            this.session = new GenerationSession(request, context, this::onEnd);
+        }
+
+        @Override
+        public void onGranted() {
+            session.start(caller, resume, keyIsNew);
+        }
+
+        @Override
+        public void onRefused(ErrorCode code, String detail, long retryAfterMillis) {
+            sessions.remove(session.request().id(), session);
+            context.metrics().generationFailed(code);
+            caller.refuse(code, detail, retryAfterMillis);
+        }
+
+        private void onEnd() {
+            sessions.remove(session.request().id(), session);
+            admission.release(ticket, session.acceptedTokenCount());
+        }
+    }
 }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -12,24 +12,32 @@
 import com.google.inject.Singleton;
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.Admission;
+import io.laburnummoor.core.process.AdmissionPolicy;
 import io.laburnummoor.core.process.ConfigHolder;
+import io.laburnummoor.core.process.DemandTable;
 import io.laburnummoor.core.process.KeyValueStore;
+import io.laburnummoor.core.process.Quarantine;
 import io.laburnummoor.core.process.RouterPeers;
 import io.laburnummoor.core.process.RoutingTable;
+import io.laburnummoor.core.process.SharedLimits;
 import io.laburnummoor.core.process.UpstreamSelector;
 import io.laburnummoor.core.version.TokenPace;
 import io.laburnummoor.router.connection.JournalPeers;
 import io.laburnummoor.router.request.GenerationContext;
 import io.laburnummoor.router.version.ConfigFollower;
+import io.laburnummoor.wire.generated.ExchangeService;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JsonHttp;
 import io.laburnummoor.wire.process.ThriftServer;
 import io.laburnummoor.wire.process.VmListClient;
 import io.laburnummoor.wire.request.HttpEngineClient;
 import org.apache.thrift.TProcessor;
+import org.jboss.logging.Logger;
 
 /** Wires the objects of a router. */
 public final class RouterModule extends AbstractModule {
+    private static final Logger LOGGER = Logger.getLogger(RouterModule.class);
     private static final int PLATFORM_TIMEOUT_MILLIS = 2_000;
     private static final int PEER_WORKER_THREADS = 4;
     private static final int WRITER_THREADS = 32;
@@ -73,6 +81,9 @@
             RoutingTable routing,
             HttpEngineClient engines,
             JournalPeers journals,
+            Quarantine quarantine,
+            Admission admission,
+            SharedLimits limits,
             RouterMetrics metrics) {
         ConcurrentHashMap<String, TokenPace> paces = new ConcurrentHashMap<>();
         GenerationContext context = new GenerationContext(
@@ -84,8 +95,51 @@
                 engines,
                 journals,
                 version -> paces.computeIfAbsent(version, added -> new TokenPace()),
+                quarantine,
                 metrics);
-        return new GenerationRegistry(context, settings.drainMillis());
+        return new GenerationRegistry(context, admission, limits::refresh, settings.drainMillis());
+    }
+
+    @Provides
+    @Singleton
+    DemandTable demandTable() {
+        return new DemandTable(settings.name());
+    }
+
+    @Provides
+    @Singleton
+    Quarantine quarantine(RoutingTable routing, Clock clock) {
+        return new Quarantine(routing, clock, Clock.wall());
+    }
+
+    @Provides
+    @Singleton
+    SharedLimits sharedLimits(ConfigHolder config, RoutingTable routing, DemandTable demand, Clock clock) {
+        return new SharedLimits(config, routing, demand, clock);
+    }
+
+    @Provides
+    @Singleton
+    Admission admission(SharedLimits limits, Clock clock) {
+        return new Admission(
+                limits,
+                AdmissionPolicy.STANDARD,
+                clock,
+                failure -> LOGGER.error("admission failed unexpectedly", failure));
+    }
+
+    @Provides
+    @Singleton
+    RouterExchange exchange(
+            RouterPeers peers,
+            ConfigHolder config,
+            Admission admission,
+            SharedLimits limits,
+            DemandTable demand,
+            Quarantine quarantine,
+            Clock clock) {
+        return new RouterExchange(
+                settings.name(), peers, config, admission, limits, demand, quarantine, clock, Clock.wall());
     }
 
     @Provides
@@ -110,8 +164,9 @@
     /** The services that other routers call, by name. */
     @Provides
     @Singleton
-    ThriftServer peerServer() {
+    ThriftServer peerServer(RouterExchange exchange) {
         Map<String, TProcessor> processors = new LinkedHashMap<>();
+        processors.put("exchange", new ExchangeService.Processor<>(exchange));
         return new ThriftServer(settings.host(), settings.peerPort(), PEER_WORKER_THREADS, processors);
     }
 
@@ -139,6 +194,7 @@
                 HttpEngineClient.class,
                 JournalPeers.class,
                 ThriftServer.class,
+                RouterExchange.class,
                 RouterHttpServer.class,
                 GenerationRegistry.class);
         return order.stream().<Service>map(injector::getInstance).toList();
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
@@ -49,6 +49,7 @@
     private final SerialExecutor serial = new SerialExecutor(this::onUnexpectedFailure);
     private final Map<Integer, RunningAttempt> attempts = new HashMap<>();
     private final Effects effects = new Effects();
+    private final IsolationGuard guard;
 
     private @Nullable Answer answer;
     private @Nullable JournalWriter journal;
@@ -67,6 +68,18 @@
         this.request = request;
         this.context = context;
         this.endHandler = endHandler;
+        this.guard = new IsolationGuard(request, context.quarantine(), context.routing(), context.clock());
+    }
+
+    /** Returns the number of tokens accepted so far. Called by the end handler. */
+    public int acceptedTokenCount() {
+        Answer known = answer;
+        return known == null ? 0 : known.accepted().size();
+    }
+
+    /** Returns the fingerprint by which harmful requests are recognised. */
+    public static String fingerprint(GenerationRequest request) {
+        return IsolationGuard.fingerprint(request);
     }
 
     /** Returns the request of this session. */
@@ -131,7 +144,9 @@
     /** Checks the deadlines. */
     public void onTick() {
         serial.execute(() -> {
-            if (answer != null && !ended) {
+            if (answer != null && !ended && guard.isBlocked()) {
+                failQuarantined();
+            } else if (answer != null && !ended) {
                 answer.onTick(context.clock().nowMillis());
             }
             if (journal != null && !ended) {
@@ -164,6 +179,10 @@
             }
             attempt.upstream().recordFailure(context.clock().nowMillis());
             lostFailureDomain = attempt.upstream().upstream().failureDomain();
+            if (failure == AttemptFailure.CONNECTION_LOST) {
+                guard.recordLoss(attempt);
+            }
+            guard.recordFailure(attempt);
             context.metrics().attemptLost(failure);
             LOGGER.infof(
                     "attempt %d of %s on upstream %s failed: %s (%s)",
@@ -276,8 +295,15 @@
         end();
     }
 
+    private void failQuarantined() {
+        if (answer != null) {
+            answer.onFailure(ErrorCode.REQUEST_QUARANTINED, "this request has crashed several upstreams");
+        }
+    }
+
     private void end() {
         ended = true;
+        guard.release();
         endHandler.run();
     }
 
@@ -309,7 +335,11 @@
             } else {
                 busyIds.clear();
             }
-            UpstreamState chosen = select(bound.version(), busyIds);
+            if (guard.isBlocked()) {
+                serial.execute(GenerationSession.this::failQuarantined);
+                return;
+            }
+            UpstreamState chosen = guard.isNeeded() ? guard.place(bound) : select(bound.version(), busyIds);
             context.metrics().attemptStarted(reason);
             if (chosen == null) {
                 onNoUpstream(attempt, bound);
@@ -360,6 +390,7 @@
                 attached.finish(tokenCount, reason);
             }
             context.metrics().generationFinished();
+            guard.recordFinish();
             end();
         }
 
--- /dev/null
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/IsolationGuard.java
@@ -0,0 +1,123 @@
+package io.laburnummoor.router.request;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.connection.UpstreamReport;
+import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.process.Quarantine;
+import io.laburnummoor.core.process.RoutingTable;
+import io.laburnummoor.core.request.Binding;
+import io.laburnummoor.core.request.GenerationRequest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Gives a request that ran on crashed upstreams an upstream of its own. The upstream with the least work is reserved;
+ * the request starts there once its other work has ended.
+ */
+final class IsolationGuard {
+    /** Time after which a request starts beside others, so that output resumes within 6 s if no upstream is idle. */
+    private static final long RESERVATION_MILLIS = 2_000;
+
+    private static final int FINGERPRINT_CHARS = 32;
+
+    private final Quarantine quarantine;
+    private final RoutingTable routing;
+    private final Clock clock;
+    private final String fingerprint;
+    private @Nullable UpstreamState reserved;
+    private long reservedAtMillis;
+    private boolean started;
+    private boolean alone;
+
+    IsolationGuard(GenerationRequest request, Quarantine quarantine, RoutingTable routing, Clock clock) {
+        this.fingerprint = fingerprint(request);
+        this.quarantine = quarantine;
+        this.routing = routing;
+        this.clock = clock;
+    }
+
+    /** Returns the fingerprint of a request: the start of its body's digest, which covers the service as well. */
+    static String fingerprint(GenerationRequest request) {
+        String digest = request.bodyDigest();
+        return digest.substring(0, Math.min(FINGERPRINT_CHARS, digest.length()));
+    }
+
+    boolean isBlocked() {
+        return quarantine.isBlocked(fingerprint);
+    }
+
+    boolean isNeeded() {
+        return quarantine.needsIsolation(fingerprint);
+    }
+
+    /** Returns the upstream on which the request may start now, or null if it has to wait. */
+    @Nullable
+    UpstreamState place(Binding binding) {
+        if (quarantine.isUndecided(fingerprint)) {
+            return null;
+        }
+        long nowMillis = clock.nowMillis();
+        UpstreamState own = reserved;
+        // A hedge of an attempt that runs here already goes elsewhere.
+        if (own == null || started || !own.isAvailable(nowMillis)) {
+            release();
+            own = reserve(binding, nowMillis);
+        }
+        if (own == null) {
+            return null;
+        }
+        alone = own.estimatedLoad() == 0;
+        started = alone || nowMillis - reservedAtMillis >= RESERVATION_MILLIS;
+        return started ? own : null;
+    }
+
+    /** Records a lost connection. */
+    void recordLoss(RunningAttempt attempt) {
+        boolean isolated = alone && attempt.upstream() == reserved;
+        quarantine.recordLoss(fingerprint, attempt.upstream().upstream(), attempt.incarnation(), isolated);
+    }
+
+    /** Ends the reservation of a failed attempt. */
+    void recordFailure(RunningAttempt attempt) {
+        if (attempt.upstream() == reserved) {
+            release();
+        }
+    }
+
+    /** Records that the answer is complete; one that ran alone is cleared. */
+    void recordFinish() {
+        if (reserved != null && alone) {
+            quarantine.recordInnocence(fingerprint);
+        }
+    }
+
+    void release() {
+        UpstreamState own = reserved;
+        reserved = null;
+        started = false;
+        alone = false;
+        if (own != null) {
+            own.endIsolation(this);
+        }
+    }
+
+    private @Nullable UpstreamState reserve(Binding binding, long nowMillis) {
+        UpstreamState best = null;
+        for (UpstreamState each : routing.snapshot().ofService(binding.service())) {
+            UpstreamReport report = each.report();
+            if (report != null
+                    && each.isAvailable(nowMillis)
+                    && !each.isIsolated()
+                    && report.version().equals(binding.version())
+                    && (binding.adapter().isEmpty() || report.adapters().contains(binding.adapter()))
+                    && (best == null || each.estimatedLoad() < best.estimatedLoad())) {
+                best = each;
+            }
+        }
+        if (best == null || !best.isolate(this)) {
+            return null;
+        }
+        reserved = best;
+        reservedAtMillis = nowMillis;
+        return best;
+    }
+}
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import io.laburnummoor.core.connection.UpstreamReport;
 import io.laburnummoor.core.connection.UpstreamState;
 import io.laburnummoor.core.request.AttemptFailure;
 import io.laburnummoor.core.request.EngineStream;
@@ -19,6 +20,7 @@
     private final UpstreamState upstream;
     private final TokenPace pace;
     private final GenerationSession session;
+    private final long incarnation;
     private final AtomicBoolean counted = new AtomicBoolean(true);
     private volatile @Nullable EngineStream stream;
     private volatile boolean cancelled;
@@ -30,6 +32,8 @@
         this.upstream = upstream;
         this.pace = pace;
         this.session = session;
+        UpstreamReport report = upstream.report();
+        this.incarnation = report == null ? 0 : report.upstreamIncarnation();
         upstream.requestStarted();
     }
 
@@ -43,6 +47,11 @@
         return upstream;
     }
 
+    /** Returns the incarnation of the upstream when this attempt was started. */
+    long incarnation() {
+        return incarnation;
+    }
+
     /** Returns whether this attempt was cancelled by the router. */
     boolean isCancelled() {
         return cancelled;
