Announce demand less often and with shorter keys

Idle routers are now silent, the freshest announcements go first, keys have 32 bits and renewals come every 10 s.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ExchangeScenario.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ExchangeScenario.java
@@ -24,7 +24,7 @@
     private static final int[] ROUTERS = {4, 25, 100, 400};
     private static final int[] ORGANISATIONS = {10, 100};
     private static final int PEERS_PER_ROUND = 2;
-    private static final int MAX_DEMANDS = 48;
+    private static final int MAX_DEMANDS = 64;
     private static final int SETTLING_ROUNDS = 40;
     private static final long ROUND_MILLIS = 1_000;
     /** Frame header, and TCP and IP headers of a request and its acknowledgement. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/DemandTable.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/DemandTable.java
@@ -1,6 +1,8 @@
 package io.laburnummoor.core.process;
 
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,9 +21,9 @@
  */
 public final class DemandTable {
     /** Time after which an announcement that was not renewed is dropped. */
-    static final long EXPIRY_MILLIS = 15_000;
+    static final long EXPIRY_MILLIS = 30_000;
     /** An unchanged announcement is renewed after this time. */
-    static final long RENEWAL_MILLIS = 5_000;
+    static final long RENEWAL_MILLIS = 10_000;
     /** A change by less than this part is not announced before the renewal, to save traffic. */
     private static final double ANNOUNCED_CHANGE = 0.25;
 
@@ -39,12 +41,17 @@
 
     /** Returns the key of an organisation. */
     public static long organisationKey(String organisation) {
-        return RendezvousHash.hash("organisation/" + organisation);
+        return shortHash("organisation/" + organisation);
     }
 
     /** Returns the key of a service. */
     public static long serviceKey(String service) {
-        return RendezvousHash.hash("service/" + service);
+        return shortHash("service/" + service);
+    }
+
+    /** 32 bits take half of the bytes of 64; 1,000 announced keys collide with a probability of 1 in 8,600. */
+    private static long shortHash(String text) {
+        return RendezvousHash.hash(text) & 0xffff_ffffL;
     }
 
     /**
@@ -56,26 +63,32 @@
     public void startRound(Map<Long, Integer> own, int routers, long sequence, long nowMillis) {
         routerCount = Math.max(1, routers);
         Known before = knownByRouter.get(self);
+        Map<Long, Integer> announcedBefore = before == null ? Map.of() : before.demand.demandByKey();
+        boolean quiet = own.isEmpty() && announcedBefore.isEmpty();
         if (before == null
-                || nowMillis - before.receivedAtMillis >= RENEWAL_MILLIS
-                || hasChanged(before.demand.demandByKey(), own)) {
+                || (!quiet && nowMillis - before.receivedAtMillis >= RENEWAL_MILLIS)
+                || hasChanged(announcedBefore, own)) {
             RouterDemand demand = new RouterDemand(self, sequence, Map.copyOf(own));
-            knownByRouter.put(self, new Known(demand, nowMillis, sendBudget()));
+            knownByRouter.put(self, new Known(demand, nowMillis, before == null && own.isEmpty() ? 0 : sendBudget()));
         }
-        knownByRouter.values().removeIf(each -> nowMillis - each.receivedAtMillis >= EXPIRY_MILLIS);
+        knownByRouter
+                .values()
+                .removeIf(each ->
+                        !each.demand.router().equals(self) && nowMillis - each.receivedAtMillis >= EXPIRY_MILLIS);
         computeShares();
     }
 
-    /** Returns announcements to send to one peer; each is sent a few times in all. */
+    /** Returns announcements to send to one peer, the freshest first; each is sent a few times in all. */
     public List<RouterDemand> takeRumours(int maxCount) {
+        List<Known> freshest = knownByRouter.values().stream()
+                .filter(each -> each.sendsLeft > 0)
+                .sorted(Comparator.comparingInt(Known::sendsLeft).reversed())
+                .limit(maxCount)
+                .toList();
         List<RouterDemand> rumours = new ArrayList<>();
-        for (Map.Entry<String, Known> each : knownByRouter.entrySet()) {
-            if (rumours.size() >= maxCount) {
-                break;
-            }
-            Known known = each.getValue();
-            if (known.sendsLeft > 0 && knownByRouter.replace(each.getKey(), known, known.sentOnce())) {
-                rumours.add(known.demand);
+        for (Known each : freshest) {
+            if (knownByRouter.replace(each.demand.router(), each, each.sentOnce())) {
+                rumours.add(each.demand);
             }
         }
         return rumours;
@@ -152,7 +165,7 @@
             return known;
         }
         double[] created = new double[window];
-        java.util.Arrays.fill(created, floor);
+        Arrays.fill(created, floor);
         return created;
     }
 
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterExchange.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterExchange.java
@@ -34,7 +34,7 @@
     private static final int PEERS_PER_ROUND = 2;
     private static final int TIMEOUT_MILLIS = 500;
     /** Bounds a digest to a few kilobytes, so that a node stays below 10 KB of control traffic a second. */
-    private static final int MAX_DEMANDS = 48;
+    private static final int MAX_DEMANDS = 64;
 
     private static final int MAX_SUSPECTS = 16;
     /** A router that needs less than half of its least share does not announce its demand. */
