Run a request alone at once after its second lost connection

It now goes on at once on an upstream of its own in another failure domain and waits only after a loss there.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/Quarantine.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/Quarantine.java
@@ -3,8 +3,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Collectors;
 
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.connection.CrashRecord;
@@ -111,9 +113,20 @@
         return counted + undecidedCount(fingerprint) >= Suspect.ISOLATION_CRASHES;
     }
 
-    /** Returns whether a request that needs isolation has to wait until its last crashes are decided. */
+    /** Returns whether a request has to wait until the loss of an attempt that ran alone is decided. */
     public boolean isUndecided(String fingerprint) {
-        return undecidedCount(fingerprint) > 0;
+        return undecided.stream().anyMatch(each -> each.fingerprint.equals(fingerprint) && each.isolated);
+    }
+
+    /**
+     * Returns the failure domains of losses that are not decided. The next attempt must not run there: a crash there
+     * would look like one event together with the loss before, and count against nobody.
+     */
+    public Set<String> undecidedDomains(String fingerprint) {
+        return undecided.stream()
+                .filter(each -> each.fingerprint.equals(fingerprint))
+                .map(each -> each.upstream.failureDomain())
+                .collect(Collectors.toSet());
     }
 
     /** Returns the number of blocked fingerprints. */
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/IsolationGuard.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/IsolationGuard.java
@@ -1,5 +1,7 @@
 package io.laburnummoor.router.request;
 
+import java.util.Set;
+
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.connection.UpstreamReport;
 import io.laburnummoor.core.connection.UpstreamState;
@@ -101,12 +103,14 @@
     }
 
     private @Nullable UpstreamState reserve(Binding binding, long nowMillis) {
+        Set<String> excludedDomains = quarantine.undecidedDomains(fingerprint);
         UpstreamState best = null;
         for (UpstreamState each : routing.snapshot().ofService(binding.service())) {
             UpstreamReport report = each.report();
             if (report != null
                     && each.isAvailable(nowMillis)
                     && !each.isIsolated()
+                    && !excludedDomains.contains(each.upstream().failureDomain())
                     && report.version().equals(binding.version())
                     && (binding.adapter().isEmpty() || report.adapters().contains(binding.adapter()))
                     && (best == null || each.estimatedLoad() < best.estimatedLoad())) {
