Keep the order of events written to one caller

Cause: SseCallerStream submitted each write to a pool of 32 threads and took its place in the stream's serial executor only there, so two writes of one caller could swap; the caller then saw swapped tokens, or the end before the last token.

Change: SerialExecutor takes an executor on which its tasks run; the order is fixed at submission and only one task of a stream is on the pool at a time.

Conclusion: the crash of an engine was not the cause; any answer could be hit.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ResumeScenario.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ResumeScenario.java
@@ -69,9 +69,14 @@
                     tokenIds.add(tokenId);
                 });
         gapsMillis.recordValue(lastAndLongestNanos[1] / 1_000_000);
-        return end.complete()
-                && tokenIds.size() == MAX_TOKENS
-                && new TokenOracle("v1", prompt).firstInvalid(tokenIds) < 0;
+        int firstInvalid = new TokenOracle("v1", prompt).firstInvalid(tokenIds);
+        boolean whole = end.complete() && tokenIds.size() == MAX_TOKENS && firstInvalid < 0;
+        if (!whole) {
+            System.err.printf(
+                    "caller %d: end %s, %d tokens, first invalid %d%n",
+                    caller, end.reason(), tokenIds.size(), firstInvalid);
+        }
+        return whole;
     }
 
     private ScenarioResult result(long violations) {
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/SerialExecutor.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/SerialExecutor.java
@@ -10,16 +10,24 @@
  * Runs the tasks of one request one after another, in the order of their submission, without a lock or a thread of its
  * own.
  *
- * <p>The thread that raises the number of pending tasks from zero runs all of them; other threads only add to the
- * queue and go on.
+ * <p>The thread that raises the number of pending tasks from zero runs all of them, or hands them to another executor;
+ * other threads only add to the queue and go on. The order is fixed by {@link #execute}, so an executor with many
+ * threads behind this one cannot swap tasks.
  */
 public final class SerialExecutor implements Executor {
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final AtomicInteger pendingCount = new AtomicInteger();
+    private final Executor runner;
     private final Consumer<Throwable> failureHandler;
 
     /** Creates an executor that passes what a task throws to the handler and goes on with the next task. */
     public SerialExecutor(Consumer<Throwable> failureHandler) {
+        this(Runnable::run, failureHandler);
+    }
+
+    /** Creates an executor whose tasks run on the given executor, for tasks that may block. */
+    public SerialExecutor(Executor runner, Consumer<Throwable> failureHandler) {
+        this.runner = runner;
         this.failureHandler = failureHandler;
     }
 
@@ -27,7 +35,7 @@
     public void execute(Runnable task) {
         tasks.add(task);
         if (pendingCount.getAndIncrement() == 0) {
-            drain();
+            runner.execute(this::drain);
         }
     }
 
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/SseCallerStream.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/SseCallerStream.java
@@ -21,7 +21,6 @@
 public final class SseCallerStream implements CallerStream {
     private final AsyncResponse response;
     private final EventOutput output = new EventOutput();
-    private final Executor writers;
     private final SerialExecutor order;
     private final Runnable disconnectHandler;
     private volatile boolean opened;
@@ -35,9 +34,8 @@
      */
     public SseCallerStream(AsyncResponse response, Executor writers, Runnable disconnectHandler) {
         this.response = response;
-        this.writers = writers;
         this.disconnectHandler = disconnectHandler;
-        this.order = new SerialExecutor(failure -> disconnect());
+        this.order = new SerialExecutor(writers, failure -> disconnect());
     }
 
     @Override
@@ -103,7 +101,7 @@
     }
 
     private void submit(Write write) {
-        writers.execute(() -> order.execute(() -> {
+        order.execute(() -> {
             if (disconnected) {
                 return;
             }
@@ -112,7 +110,7 @@
             } catch (IOException | RuntimeException failure) {
                 disconnect();
             }
-        }));
+        });
     }
 
     private void disconnect() {
