--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
@@ -35,6 +35,8 @@
     private final Semaphore slots;
     private final AtomicLong generatedTokens = new AtomicLong();
     private final AtomicLong prefilledTokens = new AtomicLong();
+    private final AtomicInteger refusedCount = new AtomicInteger();
+    private volatile long lastAcceptedMillis;
     private volatile boolean dead;
     private volatile boolean paused;
     private volatile boolean leaving;
@@ -72,6 +74,16 @@
         leaving = true;
     }
 
+    /** Returns when the last request was accepted, by the clock of {@link System#currentTimeMillis()}. */
+    public long lastAcceptedMillis() {
+        return lastAcceptedMillis;
+    }
+
+    /** Returns the number of requests refused because the engine leaves. */
+    public int refusedCount() {
+        return refusedCount.get();
+    }
+
     /** Returns whether the engine has died. */
     public boolean isDead() {
         return dead;
@@ -107,9 +119,11 @@
     private void complete(HttpExchange exchange) throws IOException {
         JsonNode request = readJson(exchange);
         if (leaving) {
+            refusedCount.incrementAndGet();
             writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("code", "leaving"));
             return;
         }
+        lastAcceptedMillis = System.currentTimeMillis();
         try {
             exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
             exchange.sendResponseHeaders(STATUS_OK, 0);
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -51,9 +51,11 @@
     private static final long READY_TIMEOUT_MILLIS = 20_000;
     private static final long READY_POLL_MILLIS = 20;
     private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final int AGENT_DRAIN_MILLIS = 3_000;
     private static final int JOURNAL_MAX_BYTES = 32 << 20;
     private static final long JOURNAL_RETENTION_MILLIS = 600_000;
 
+    private final int drainMillis;
     private final PlatformStandIn platform = new PlatformStandIn(HOST, 0);
     private final List<EngineNode> engines = new ArrayList<>();
     private final List<RouterNode> routers = new ArrayList<>();
@@ -61,6 +63,17 @@
     /** Creates a deployment with the same number of engines and routers in each failure domain. */
     public LocalDeployment(
             List<String> failureDomains, int enginesPerDomain, int routersPerDomain, EngineSettings engineSettings) {
+        this(failureDomains, enginesPerDomain, routersPerDomain, engineSettings, 0);
+    }
+
+    /** Creates a deployment whose routers and agents give running work the drain time at a planned stop. */
+    public LocalDeployment(
+            List<String> failureDomains,
+            int enginesPerDomain,
+            int routersPerDomain,
+            EngineSettings engineSettings,
+            int drainMillis) {
+        this.drainMillis = drainMillis;
         for (String domain : failureDomains) {
             for (int i = 1; i <= enginesPerDomain; i++) {
                 addEngine("drafter-" + domain + "-" + i, domain, engineSettings);
@@ -118,7 +131,7 @@
                 settings.gapMillis(),
                 settings.seed() + engines.size(),
                 settings.slots());
-        engines.add(new EngineNode(id, domain, own));
+        engines.add(new EngineNode(id, domain, own, Math.min(drainMillis, AGENT_DRAIN_MILLIS)));
     }
 
     private void addRouter(String name, String domain) {
@@ -132,7 +145,7 @@
                 platformAddress(""),
                 platformAddress("/vms"),
                 MAX_BODY_BYTES,
-                0,
+                drainMillis,
                 "WARN")));
     }
 
@@ -172,7 +185,7 @@
         private final Upstream upstream;
         private final List<Service> agent;
 
-        EngineNode(String id, String domain, EngineSettings settings) {
+        EngineNode(String id, String domain, EngineSettings settings, int agentDrainMillis) {
             this.engine = new EngineStandIn(HOST, 0, settings);
             int agentPort = freePort();
             this.upstream = new Upstream(id, SERVICE, domain, HOST, engine.port(), agentPort, false);
@@ -185,7 +198,7 @@
                     engine.port(),
                     JOURNAL_MAX_BYTES,
                     JOURNAL_RETENTION_MILLIS,
-                    0,
+                    agentDrainMillis,
                     "WARN");
             this.agent = Guice.createInjector(new AgentModule(agentSettings))
                     .getInstance(Key.get(new TypeLiteral<List<Service>>() {}));
@@ -266,7 +279,8 @@
             }
         }
 
-        private boolean isReady() {
+        /** Returns whether the balancer would send requests here. */
+        public boolean isReady() {
             return injector.getInstance(ReadinessCheck.class).isReady();
         }
     }
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -15,6 +15,7 @@
 
     private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of(
             "resume", new ResumeScenario(),
+            "drain", new DrainScenario(),
             "overload", new OverloadScenario(),
             "crash-request", new CrashRequestScenario(),
             "exchange", new ExchangeScenario()));
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamState.java
@@ -24,6 +24,7 @@
     private final AtomicInteger inFlightCount = new AtomicInteger();
     private final AtomicLong failureHoldDeadlineMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong suspectDeadlineMillis = new AtomicLong(NEVER_MILLIS);
+    private final AtomicLong leftIncarnation = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong downAtMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicReference<@Nullable Object> isolationOwner = new AtomicReference<>();
     private final ConcurrencyTarget concurrencyTarget = new ConcurrencyTarget();
@@ -62,6 +63,9 @@
     /** Records a heartbeat of the agent. A new incarnation of the upstream clears failures of the one before. */
     public void recordHeartbeat(UpstreamReport report, long nowMillis) {
         Heartbeat before = heartbeat.getAndSet(new Heartbeat(report, nowMillis, inFlightCount.get()));
+        if (report.leaving()) {
+            leftIncarnation.set(report.upstreamIncarnation());
+        }
         concurrencyTarget.record(report.runningCount(), report.waitingCount());
         if (before != null
                 && before.report.upstreamAlive()
@@ -80,11 +84,25 @@
         return last != null
                 && nowMillis >= failureHoldDeadlineMillis.get()
                 && last.report.upstreamAlive()
-                && !last.report.leaving()
+                && !isLeaving()
                 && !upstream.leaving()
                 && isAgentAlive(nowMillis);
     }
 
+    /** Records that the upstream refused work because it leaves. */
+    public void recordLeaving() {
+        Heartbeat last = heartbeat.get();
+        if (last != null) {
+            leftIncarnation.set(last.report.upstreamIncarnation());
+        }
+    }
+
+    /** Returns whether the upstream takes no new work any more; final for one incarnation. */
+    public boolean isLeaving() {
+        Heartbeat last = heartbeat.get();
+        return last != null && (last.report.leaving() || last.report.upstreamIncarnation() == leftIncarnation.get());
+    }
+
     /** Returns whether the agent has answered within the heartbeat timeout. */
     public boolean isAgentAlive(long nowMillis) {
         Heartbeat last = heartbeat.get();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AdmissionScheduler.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AdmissionScheduler.java
@@ -24,8 +24,8 @@
 public final class AdmissionScheduler {
     /** One grant in this many goes to a batch request while one waits, so that batch work is never starved. */
     static final int BATCH_TURN = 8;
-    /** Tokens that a caller may ask for in each round of its organisation: the default of {@code max_tokens}. */
-    static final long QUANTUM_TOKENS = 256;
+    /** Tokens that a caller may ask for in each round; less than usual requests, so that a round is short. */
+    static final long QUANTUM_TOKENS = 32;
 
     private static final int RESUMED_EXCESS_DIVISOR = 4;
     private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AttemptFailure.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AttemptFailure.java
@@ -4,6 +4,8 @@
 public enum AttemptFailure {
     /** The upstream refused the attempt before running it. */
     REFUSED,
+    /** The upstream refused the attempt before running it because it leaves. */
+    LEAVING,
     /** The connection broke, or ended before the end of the answer. */
     CONNECTION_LOST,
     /** The upstream answered with an error or a malformed message. */
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/UpstreamStateTest.java
@@ -0,0 +1,58 @@
+package io.laburnummoor.core.connection;
+
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class UpstreamStateTest {
+    /**
+     * Guards against new work for an upstream that leaves or fails, whichever source tells first. In order: VM list
+     * says leaving, failure seen by a request, alive by heartbeat, notice of leaving, incarnation after the notice, age
+     * of the heartbeat.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "false, false, true,  false, 1, 0,    true",
+        "true,  false, true,  false, 1, 0,    false",
+        "false, true,  true,  false, 1, 0,    false",
+        "false, false, false, false, 1, 0,    false",
+        "false, false, true,  true,  1, 0,    false",
+        "false, false, true,  true,  2, 0,    true",
+        "false, true,  true,  false, 2, 0,    true",
+        "false, false, true,  false, 1, 3000, false",
+    })
+    void ranksEvidence(
+            boolean listedLeaving,
+            boolean failed,
+            boolean alive,
+            boolean noticed,
+            long laterIncarnation,
+            long heartbeatAgeMillis,
+            boolean available) {
+        UpstreamState state =
+                new UpstreamState(new Upstream("u", "drafter", "sapporo", "127.0.0.1", 1, 2, listedLeaving));
+        state.recordHeartbeat(report(1, true, noticed), 1_000);
+        if (failed) {
+            state.recordFailure(1_000);
+        }
+        state.recordHeartbeat(report(laterIncarnation, alive, false), 1_100);
+        assertThat(state.isAvailable(1_100 + heartbeatAgeMillis), is(available));
+    }
+
+    /** Guards against a target that stays too high while requests wait, or too low once the engine has room. */
+    @ParameterizedTest
+    @CsvSource({"4, 10, 5", "4, 0, 64", "64, 0, 72", "0, 3, 64"})
+    void learnsTheConcurrencyOfAnEngine(int running, int waiting, int expected) {
+        ConcurrencyTarget target = new ConcurrencyTarget();
+        target.record(running, waiting);
+        assertThat(target.get(), is(expected));
+    }
+
+    private static UpstreamReport report(long incarnation, boolean alive, boolean leaving) {
+        return new UpstreamReport(1, alive, incarnation, leaving, 0, 0, "v1", List.of());
+    }
+}
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -145,7 +145,7 @@
     @Provides
     @Singleton
     ReadinessCheck readiness(ConfigHolder config, RoutingTable routing, Clock clock) {
-        return new ReadinessCheck(config, routing, clock);
+        return new ReadinessCheck(config, routing, clock, settings.drainMillis());
     }
 
     @Provides
@@ -196,7 +196,8 @@
                 ThriftServer.class,
                 RouterExchange.class,
                 RouterHttpServer.class,
-                GenerationRegistry.class);
+                GenerationRegistry.class,
+                ReadinessCheck.class);
         return order.stream().<Service>map(injector::getInstance).toList();
     }
 }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
@@ -177,7 +177,11 @@
             if (answer == null || attempt.isCancelled()) {
                 return;
             }
-            attempt.upstream().recordFailure(context.clock().nowMillis());
+            if (failure == AttemptFailure.LEAVING) {
+                attempt.upstream().recordLeaving();
+            } else {
+                attempt.upstream().recordFailure(context.clock().nowMillis());
+            }
             lostFailureDomain = attempt.upstream().upstream().failureDomain();
             if (failure == AttemptFailure.CONNECTION_LOST) {
                 guard.recordLoss(attempt);
