--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -24,6 +25,10 @@
     private static final int STATUS_UNAVAILABLE = 503;
     private static final long PAUSE_POLL_MILLIS = 5;
     private static final int EXIT_KILLED = 137;
+    /** A prompt with this text kills the engine that generates from it. */
+    static final String CRASHING_TEXT = "crash-the-engine";
+
+    private static final int TOKENS_BEFORE_CRASH = 5;
 
     private final EngineSettings settings;
     private final long incarnation;
@@ -31,8 +36,12 @@
     private final List<String> adapters = new CopyOnWriteArrayList<>();
     private final SplittableRandom random;
     private final AtomicInteger runningCount = new AtomicInteger();
+    private final AtomicInteger waitingCount = new AtomicInteger();
+    private final Semaphore slots;
     private final AtomicLong generatedTokens = new AtomicLong();
     private final AtomicLong prefilledTokens = new AtomicLong();
+    private final AtomicInteger refusedCount = new AtomicInteger();
+    private volatile long lastAcceptedMillis;
     private volatile boolean dead;
     private volatile boolean paused;
     private volatile boolean leaving;
@@ -44,6 +53,7 @@
         super(host, port);
         this.settings = settings;
         this.version = settings.version();
+        this.slots = new Semaphore(settings.slots(), true);
         this.random = new SplittableRandom(settings.seed());
         this.incarnation = random.nextLong() & Long.MAX_VALUE;
         route("/v1/completions", this::complete);
@@ -83,6 +93,21 @@
         return List.copyOf(executedOrders);
     }
 
+    /** Returns when the last request was accepted, by the clock of {@link System#currentTimeMillis()}. */
+    public long lastAcceptedMillis() {
+        return lastAcceptedMillis;
+    }
+
+    /** Returns the number of requests refused because the engine leaves. */
+    public int refusedCount() {
+        return refusedCount.get();
+    }
+
+    /** Returns whether the engine has died. */
+    public boolean isDead() {
+        return dead;
+    }
+
     /** Returns the number of streams that run now. */
     public int runningCount() {
         return runningCount.get();
@@ -103,7 +128,7 @@
         ObjectNode body = MAPPER.createObjectNode();
         body.put("incarnation", incarnation);
         body.put("running", runningCount.get());
-        body.put("waiting", 0);
+        body.put("waiting", waitingCount.get());
         body.put("version", version);
         body.put("leaving", leaving);
         adapters.forEach(body.putArray("adapters")::add);
@@ -113,6 +138,7 @@
     private void complete(HttpExchange exchange) throws IOException {
         JsonNode request = readJson(exchange);
         if (leaving) {
+            refusedCount.incrementAndGet();
             writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("code", "leaving"));
             return;
         }
@@ -120,6 +146,15 @@
             writeJson(exchange, STATUS_ERROR, MAPPER.createObjectNode().put("code", "fault"));
             return;
         }
+        lastAcceptedMillis = System.currentTimeMillis();
+        try {
+            exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+            exchange.sendResponseHeaders(STATUS_OK, 0);
+            awaitSlot();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            return;
+        }
         runningCount.incrementAndGet();
         try {
             stream(exchange, request);
@@ -127,6 +162,7 @@
             Thread.currentThread().interrupt();
         } finally {
             runningCount.decrementAndGet();
+            slots.release();
         }
     }
 
@@ -140,12 +176,13 @@
             state = oracle.advance(state, id.asInt());
         }
         prefilledTokens.addAndGet(prompt.split(" ").length + prefix.size());
-        exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
-        exchange.sendResponseHeaders(STATUS_OK, 0);
         OutputStream output = exchange.getResponseBody();
         Thread.sleep(settings.firstTokenMillis());
         for (int offset = prefix.size(); offset < maxTokens; offset++) {
             awaitUnpaused();
+            if (offset >= TOKENS_BEFORE_CRASH && prompt.contains(CRASHING_TEXT)) {
+                die();
+            }
             Token token = oracle.successor(state, nextVariant());
             state = oracle.advance(state, token.id());
             generatedTokens.incrementAndGet();
@@ -181,6 +218,15 @@
         return random.nextDouble();
     }
 
+    private void awaitSlot() throws InterruptedException {
+        waitingCount.incrementAndGet();
+        try {
+            slots.acquire();
+        } finally {
+            waitingCount.decrementAndGet();
+        }
+    }
+
     private synchronized int nextVariant() {
         return random.nextInt(TokenOracle.VARIANTS);
     }
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -64,9 +64,11 @@
     private static final int PORT_TRIES = 1_000;
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final long ROLLOUT_MIN_STEP_MILLIS = 3_000;
+    private static final int AGENT_DRAIN_MILLIS = 3_000;
     private static final int JOURNAL_MAX_BYTES = 32 << 20;
     private static final long JOURNAL_RETENTION_MILLIS = 600_000;
 
+    private final long drainMillis;
     private final PlatformStandIn platform = new PlatformStandIn(HOST, 0);
     private final List<EngineNode> engines = new ArrayList<>();
     private final List<RouterNode> routers = new ArrayList<>();
@@ -79,7 +81,7 @@
         this(failureDomains, enginesPerDomain, routersPerDomain, engineSettings, 0, 0);
     }
 
-    /** Creates a deployment with plain services and routers that drain when they stop. */
+    /** Creates a deployment with plain services, whose routers and agents drain at a planned stop. */
     public LocalDeployment(
             List<String> failureDomains,
             int enginesPerDomain,
@@ -87,12 +89,13 @@
             EngineSettings engineSettings,
             int plainServicesPerDomain,
             long drainMillis) {
+        this.drainMillis = drainMillis;
         for (String domain : failureDomains) {
             for (int i = 1; i <= enginesPerDomain; i++) {
                 addEngine("drafter-" + domain + "-" + i, domain, engineSettings);
             }
             for (int i = 1; i <= routersPerDomain; i++) {
-                addRouter("router-" + domain + "-" + i, domain, drainMillis);
+                addRouter("router-" + domain + "-" + i, domain);
             }
             for (int i = 1; i <= plainServicesPerDomain; i++) {
                 plainServices.add(
@@ -161,11 +164,13 @@
                 settings.version(),
                 settings.firstTokenMillis(),
                 settings.gapMillis(),
-                settings.seed() + engines.size());
-        engines.add(new EngineNode(id, domain, own, platformAddress("").toString()));
+                settings.seed() + engines.size(),
+                settings.slots());
+        engines.add(new EngineNode(
+                id, domain, own, platformAddress("").toString(), Math.min(drainMillis, AGENT_DRAIN_MILLIS)));
     }
 
-    private void addRouter(String name, String domain, long drainMillis) {
+    private void addRouter(String name, String domain) {
         routers.add(new RouterNode(new RouterSettings(
                 name,
                 domain,
@@ -229,7 +234,7 @@
         private final AgentSettings agentSettings;
         private List<Service> agent;
 
-        EngineNode(String id, String domain, EngineSettings settings, String keyValueAddress) {
+        EngineNode(String id, String domain, EngineSettings settings, String keyValueAddress, long agentDrainMillis) {
             this.engine = new EngineStandIn(HOST, 0, settings);
             int agentPort = freePort();
             this.upstream = new Upstream(id, SERVICE, domain, HOST, engine.port(), agentPort, false);
@@ -242,7 +247,7 @@
                     engine.port(),
                     JOURNAL_MAX_BYTES,
                     JOURNAL_RETENTION_MILLIS,
-                    0,
+                    agentDrainMillis,
                     keyValueAddress,
                     "WARN");
             this.agent = createAgent(agentSettings);
@@ -342,7 +347,8 @@
             injector.getInstance(RouterHttpServer.class).stop();
         }
 
-        private boolean isReady() {
+        /** Returns whether the balancer would send requests here. */
+        public boolean isReady() {
             return injector.getInstance(ReadinessCheck.class).isReady();
         }
     }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -13,17 +13,22 @@
 import com.google.inject.Singleton;
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.Admission;
+import io.laburnummoor.core.process.AdmissionPolicy;
 import io.laburnummoor.core.process.CallRetryBudget;
 import io.laburnummoor.core.process.ClaimPolicy;
 import io.laburnummoor.core.process.ConfigHolder;
 import io.laburnummoor.core.process.ConfigReplica;
 import io.laburnummoor.core.process.ConfigRepository;
+import io.laburnummoor.core.process.DemandTable;
 import io.laburnummoor.core.process.KeyValueStore;
 import io.laburnummoor.core.process.PartitionLeases;
 import io.laburnummoor.core.process.PartitionLog;
+import io.laburnummoor.core.process.Quarantine;
 import io.laburnummoor.core.process.RolloutShares;
 import io.laburnummoor.core.process.RouterPeers;
 import io.laburnummoor.core.process.RoutingTable;
+import io.laburnummoor.core.process.SharedLimits;
 import io.laburnummoor.core.process.UpstreamSelector;
 import io.laburnummoor.core.version.RolloutObservers;
 import io.laburnummoor.core.version.TokenPace;
@@ -39,6 +44,7 @@
 import io.laburnummoor.router.version.StoredRollouts;
 import io.laburnummoor.wire.generated.ClaimService;
 import io.laburnummoor.wire.generated.ConfigService;
+import io.laburnummoor.wire.generated.ExchangeService;
 import io.laburnummoor.wire.generated.RolloutService;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JacksonSegmentCodec;
@@ -49,9 +55,11 @@
 import io.laburnummoor.wire.request.PlainServiceClient;
 import io.laburnummoor.wire.version.ConfigCodec;
 import org.apache.thrift.TProcessor;
+import org.jboss.logging.Logger;
 
 /** Wires the objects of a router. */
 public final class RouterModule extends AbstractModule {
+    private static final Logger LOGGER = Logger.getLogger(RouterModule.class);
     private static final int PLATFORM_TIMEOUT_MILLIS = 2_000;
     /** Claims wait for their group commit, so one thread serves only about five batches a second. */
     private static final int PEER_WORKER_THREADS = 32;
@@ -100,9 +108,8 @@
             RoutingTable routing,
             HttpEngineClient engines,
             JournalPeers journals,
-            RouterMetrics metrics,
-            RolloutShares shares,
-            RolloutObservers observers) {
+            Injector injector,
+            RouterMetrics metrics) {
         ConcurrentHashMap<String, TokenPace> paces = new ConcurrentHashMap<>();
         GenerationContext context = new GenerationContext(
                 settings.name(),
@@ -113,10 +120,57 @@
                 engines,
                 journals,
                 version -> paces.computeIfAbsent(version, added -> new TokenPace()),
+                injector.getInstance(Quarantine.class),
                 metrics,
-                shares,
-                observers);
-        return new GenerationRegistry(context, settings.drainMillis());
+                injector.getInstance(RolloutShares.class),
+                injector.getInstance(RolloutObservers.class));
+        return new GenerationRegistry(
+                context,
+                injector.getInstance(Admission.class),
+                injector.getInstance(SharedLimits.class)::refresh,
+                settings.drainMillis());
+    }
+
+    @Provides
+    @Singleton
+    DemandTable demandTable() {
+        return new DemandTable(settings.name());
+    }
+
+    @Provides
+    @Singleton
+    Quarantine quarantine(RoutingTable routing, Clock clock) {
+        return new Quarantine(routing, clock, Clock.wall());
+    }
+
+    @Provides
+    @Singleton
+    SharedLimits sharedLimits(ConfigHolder config, RoutingTable routing, DemandTable demand, Clock clock) {
+        return new SharedLimits(config, routing, demand, clock);
+    }
+
+    @Provides
+    @Singleton
+    Admission admission(SharedLimits limits, Clock clock) {
+        return new Admission(
+                limits,
+                AdmissionPolicy.STANDARD,
+                clock,
+                failure -> LOGGER.error("admission failed unexpectedly", failure));
+    }
+
+    @Provides
+    @Singleton
+    RouterExchange exchange(
+            RouterPeers peers,
+            ConfigHolder config,
+            Admission admission,
+            SharedLimits limits,
+            DemandTable demand,
+            Quarantine quarantine,
+            Clock clock) {
+        return new RouterExchange(
+                settings.name(), peers, config, admission, limits, demand, quarantine, clock, Clock.wall());
     }
 
     @Provides
@@ -162,7 +216,7 @@
     @Provides
     @Singleton
     ReadinessCheck readiness(ConfigHolder config, RoutingTable routing, Clock clock) {
-        return new ReadinessCheck(config, routing, clock);
+        return new ReadinessCheck(config, routing, clock, settings.drainMillis());
     }
 
     @Provides
@@ -201,6 +255,7 @@
         processors.put(ConfigHandler.SERVICE_NAME, new ConfigService.Processor<>(configHandler));
         processors.put(RemoteClaimHolder.SERVICE_NAME, new ClaimService.Processor<>(claimHandler));
         processors.put("rollouts", new RolloutService.Processor<>(injector.getInstance(RolloutService.Iface.class)));
+        processors.put("exchange", new ExchangeService.Processor<>(injector.getInstance(RouterExchange.class)));
         return new ThriftServer(settings.host(), settings.peerPort(), PEER_WORKER_THREADS, processors);
     }
 
@@ -238,11 +293,13 @@
                 StoredRollouts.class,
                 RolloutFollower.class,
                 ThriftServer.class,
+                RouterExchange.class,
                 PlainServiceClient.class,
                 ClaimClient.class,
                 RouterHttpServer.class,
                 PlainCalls.class,
-                GenerationRegistry.class);
+                GenerationRegistry.class,
+                ReadinessCheck.class);
         return order.stream().<Service>map(injector::getInstance).toList();
     }
 }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import io.laburnummoor.core.connection.UpstreamReport;
 import io.laburnummoor.core.connection.UpstreamState;
 import io.laburnummoor.core.request.AttemptFailure;
 import io.laburnummoor.core.request.EngineStream;
@@ -21,6 +22,7 @@
     private final TokenPace pace;
     private final GenerationSession session;
     private final AttemptStatistics statistics;
+    private final long incarnation;
     private final AtomicBoolean counted = new AtomicBoolean(true);
     private volatile @Nullable EngineStream stream;
     private volatile boolean cancelled;
@@ -38,6 +40,8 @@
         this.pace = pace;
         this.session = session;
         this.statistics = statistics;
+        UpstreamReport report = upstream.report();
+        this.incarnation = report == null ? 0 : report.upstreamIncarnation();
         upstream.requestStarted();
     }
 
@@ -51,6 +55,11 @@
         return upstream;
     }
 
+    /** Returns the incarnation of the upstream when this attempt was started. */
+    long incarnation() {
+        return incarnation;
+    }
+
     /** Returns whether this attempt was cancelled by the router. */
     boolean isCancelled() {
         return cancelled;
