--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ConfigNode.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ConfigNode.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.laburnummoor.core.Service;
@@ -41,6 +43,8 @@
     /** Bytes of the answers by the router that gave them, over all nodes of the process. */
     private static final Map<RouterPeer, AtomicLong> ANSWERED_BYTES = new ConcurrentHashMap<>();
 
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger(22_000);
+
     private final RouterPeer peer;
     private final ConfigReplica replica = new ConfigReplica();
     private final ConfigHolder holder = new ConfigHolder();
@@ -100,11 +104,17 @@
         http.stop();
     }
 
-    static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
-        } catch (IOException cause) {
-            throw new UncheckedIOException(cause);
+    /** Returns a free port below the range that the system gives to outgoing connections. */
+    private static int freePort() {
+        while (true) {
+            int port = NEXT_PORT.getAndIncrement();
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                return socket.getLocalPort();
+            } catch (BindException taken) {
+                continue;
+            } catch (IOException cause) {
+                throw new UncheckedIOException(cause);
+            }
         }
     }
 
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -23,10 +23,12 @@
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.io.CloseMode;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
 /** Blocking HTTP calls with JSON bodies, used towards the platform and the upstream's health page. */
 public final class JsonHttp implements Service {
+    private static final Logger LOGGER = Logger.getLogger(JsonHttp.class);
     private static final int MAX_CONNECTIONS = 64;
 
     private final ObjectMapper mapper = new ObjectMapper();
@@ -102,9 +104,17 @@
             }
             throw silence;
         } finally {
-            // Closing the answer alone would read on to its end, which never comes.
-            request.abort();
+            discard(request, response);
+        }
+    }
+
+    /** Closes the connection first, because closing the answer alone would read on to its end, which never comes. */
+    private static void discard(HttpPost request, ClassicHttpResponse response) {
+        request.abort();
+        try {
             response.close();
+        } catch (IOException alreadyClosed) {
+            LOGGER.tracef("streamed answer of %s is discarded", request.getRequestUri());
         }
     }
 
