--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/KvOutageScenario.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/KvOutageScenario.java
@@ -4,6 +4,8 @@
 import java.net.http.HttpClient;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -28,12 +30,16 @@
     private static final int MAX_TOKENS = 30;
     private static final long OUTAGE_MILLIS = 8_000;
     private static final long SLOW_DELAY_MILLIS = 1_000;
+    /** Time without a fault, to tell failures of generations that the outage does not cause. */
+    private static final long CONTROL_MILLIS = 4_000;
+
     private static final long POLL_MILLIS = 5;
     /** The letter's target: a change is in effect everywhere within 13 s. */
     private static final long BOUND_MILLIS = 13_000;
 
     private final AtomicLong answers = new AtomicLong();
     private final AtomicLong failedAnswers = new AtomicLong();
+    private final Map<String, Integer> failureReasons = new ConcurrentHashMap<>();
     private final AtomicLong reverts = new AtomicLong();
     private final AtomicBoolean running = new AtomicBoolean(true);
 
@@ -56,6 +62,8 @@
                     new ConfigPublisher(new ConfigRepository(deployment.keyValueStore(), new ConfigCodec()), () -> {});
             violations += change(publisher, 101) == Result.ACCEPTED ? 0 : 1;
             figures.put("change_before_millis", awaitRevision(deployment, 2));
+            Thread.sleep(CONTROL_MILLIS);
+            figures.put("failed_answers_before_outage", failedAnswers.get());
             long answersBefore = answers.get();
             deployment.platform().setDown(true);
             long startNanos = System.nanoTime();
@@ -81,6 +89,7 @@
             figures.put("slow_answer_delay_millis", SLOW_DELAY_MILLIS);
             figures.put("change_in_force_after_return_millis", recoveredMillis);
             figures.put("answers", answers.get()).put("failed_answers", failedAnswers.get());
+            failureReasons.forEach((reason, count) -> figures.put("failed_" + reason, count));
             figures.put("reverts", reverts.get()).put("bound_millis", BOUND_MILLIS);
             boolean pass = violations == 0 && recoveredMillis <= BOUND_MILLIS;
             return new ScenarioResult(violations, pass, figures);
@@ -139,15 +148,19 @@
             AtomicLong tokens = new AtomicLong();
             boolean complete;
             try {
-                complete = client.run(
-                                deployment.routers().get(caller % 3).address(),
-                                body,
-                                null,
-                                null,
-                                (id, offset, tokenId, text) -> tokens.incrementAndGet())
-                        .complete();
+                StreamClient.StreamEnd end = client.run(
+                        deployment.routers().get(caller % 3).address(),
+                        body,
+                        null,
+                        null,
+                        (id, offset, tokenId, text) -> tokens.incrementAndGet());
+                complete = end.complete();
+                if (!complete) {
+                    failureReasons.merge(end.reason(), 1, Integer::sum);
+                }
             } catch (Exception failure) {
                 complete = false;
+                failureReasons.merge(failure.getClass().getSimpleName(), 1, Integer::sum);
             }
             answers.incrementAndGet();
             failedAnswers.addAndGet(complete && tokens.get() == MAX_TOKENS ? 0 : 1);
