--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlatformStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlatformStandIn.java
@@ -19,7 +19,8 @@
 
 /**
  * A stand-in for the platform: the key-value service by the etcd v3 JSON gateway (range, transactions with one
- * comparison of a modification revision, leases, watches of one key) and the list of VMs. It can be down or slow and can lose answers after the
+ * comparison of a modification revision, leases, watches of one key) and the list of VMs. It
+ * can be down or slow and can lose answers after the
  * write.
  */
 public final class PlatformStandIn extends HttpStandIn {
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/RacingOperatorsScenario.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/RacingOperatorsScenario.java
@@ -23,7 +23,7 @@
 import io.laburnummoor.core.version.ConfigDelta;
 import io.laburnummoor.core.version.ConfigState;
 
-/** Lets operators race each other while answers to writes are lost, and compares the history with what they were told. */
+/** Lets operators race while answers to writes are lost, and compares the history with what they were told. */
 final class RacingOperatorsScenario implements Scenario {
     private static final int OPERATORS = 8;
     private static final int CHANGES_PER_OPERATOR = 40;
--- a/laburnummoor-wire/src/test/java/io/laburnummoor/wire/version/DeclarationReaderTest.java
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/version/DeclarationReaderTest.java
@@ -4,6 +4,7 @@
 
 import io.laburnummoor.core.version.ConfigEntry;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvFileSource;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -52,23 +53,7 @@
                     .formatted("ab".repeat(32));
 
     @ParameterizedTest
-    @CsvSource(
-            delimiter = '|',
-            value = {
-                "schema_version = 2 | schema_version = 9 | a.toml: schema_version: must be one of [1, 2]",
-                "kind = \"engine\" | kind = \"motor\" | a.toml: service[0].kind: must be engine or plain",
-                "name = \"drafter\" | name = \"a/b\" | a.toml: service[0].name: must be a name of letters, digits, dots, hyphens and underscores",
-                "active_version = \"v1\" | active_version = \"v9\" | a.toml: service[0].active_version: version \"v9\" of the service is not declared",
-                "enforces_fencing = true | enforces_fencing = 1 | a.toml: upstream_version[0].enforces_fencing: must be true or false",
-                "version = \"v2\" | version = \"v1\" | a.toml: upstream_version[1]: upstream_version/drafter/v1 is declared twice, first in a.toml: upstream_version[0]",
-                "to = \"v2\" | to = \"v3\" | a.toml: rollout[0].to: version \"v3\" of service \"drafter\" is not declared",
-                "to = \"v2\" | to = \"v1\" | a.toml: rollout[0].to: must differ from \"from\"",
-                "2026-12-05T06:00:00+09:00 | tomorrow | a.toml: rollout[0].complete_by: must be an RFC 3339 time with its offset from UTC",
-                "max_error_rate_increase = 0.01 | max_error_rate_increase = 2 | a.toml: rollout[0].bounds.max_error_rate_increase: must be a number from 0.0 to 1.0",
-                "max_concurrent = 3 | max_concurrent = 0 | a.toml: organisation[0].limits.max_concurrent: must be a whole number from 1 to 1000000000",
-                "[organisation.limits] | | a.toml: organisation[0].limits: must be a table",
-                "[[organisation]] | [[organisations]] | a.toml: organisations: unknown kind of declaration, known are organisation, rollout, service, upstream_version",
-            })
+    @CsvFileSource(resources = "declaration-faults.csv", delimiter = '|', quoteCharacter = '\'')
     void faultsNameFileKeyAndReason(String text, String replacement, String expected) {
         DeclarationReader reader = new DeclarationReader();
         reader.read("a.toml", VALID.replace(text, replacement == null ? "" : replacement));
