--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
@@ -98,11 +98,7 @@
     public void release(ClaimRecord released, String reason) {
         context.claims().record(released, outcome -> serial.execute(() -> decision.onReleaseOutcome(outcome, reason)));
         ClaimOutcome timedOut = ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE);
-        context.timer()
-                .schedule(
-                        () -> serial.execute(() -> decision.onReleaseOutcome(timedOut, reason)),
-                        RELEASE_WAIT_MILLIS,
-                        TimeUnit.MILLISECONDS);
+        context.timer().schedule(() -> onReleaseOutcome(timedOut, reason), RELEASE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -133,6 +129,11 @@
                 () -> decision.onClaimOutcome(outcome, context.wallClock().nowMillis()));
     }
 
+    private void onReleaseOutcome(ClaimOutcome outcome, String reason) {
+        serial.execute(() ->
+                decision.onReleaseOutcome(outcome, reason, context.wallClock().nowMillis()));
+    }
+
     private static RecordedResult toRecord(PlainResponse response) {
         byte[] body = response.body();
         boolean recorded = body.length <= ClaimPolicy.MAX_RECORDED_BODY_BYTES;
