--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/NonIdempotentCallSession.java
@@ -96,7 +96,7 @@
 
     @Override
     public void release(ClaimRecord released, String reason) {
-        context.claims().record(released, outcome -> serial.execute(() -> decision.onReleaseOutcome(outcome, reason)));
+        context.claims().record(released, outcome -> onReleaseOutcome(outcome, reason));
         ClaimOutcome timedOut = ClaimOutcome.of(ClaimOutcome.Kind.UNAVAILABLE);
         context.timer().schedule(() -> onReleaseOutcome(timedOut, reason), RELEASE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
