--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/DrainScenario.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/DrainScenario.java
@@ -16,6 +16,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.laburnummoor.bench.request.StreamClient;
 import io.laburnummoor.bench.request.TokenOracle;
+import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.wire.process.PeriodicTask;
 
 /**
  * Under load, an agent is stopped as planned, an engine refuses work because it leaves, and a router is stopped as
@@ -23,7 +25,15 @@
  */
 final class DrainScenario implements Scenario {
     private static final int CALLERS = 24;
-    private static final int MAX_TOKENS = 100;
+    private static final int MIN_TOKENS = 40;
+    private static final int TOKENS_RANGE = 80;
+    /** Longer than the drain time, so that the stop breaks these answers. */
+    private static final int LONG_ANSWER_TOKENS = 700;
+    /** Every so many callers one asks for long answers. */
+    private static final int LONG_ANSWER_CALLERS = 6;
+    /** Age of the balancer's view of the routers. */
+    private static final long BALANCER_LAG_MILLIS = 1_000;
+
     private static final int DRAIN_MILLIS = 8_000;
     private static final int MAX_TRIES = 20;
     private static final long RETRY_MILLIS = 100;
@@ -31,6 +41,7 @@
     private static final long NEW_WORK_BOUND_MILLIS = 3_000;
 
     private final Map<String, AtomicInteger> retriesByReason = new ConcurrentHashMap<>();
+    private final Snapshot<List<LocalDeployment.RouterNode>> balanced = new Snapshot<>(List.of());
     private final AtomicInteger complete = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
 
@@ -41,11 +52,19 @@
         LocalDeployment deployment =
                 new LocalDeployment(List.of("sapporo", "asahikawa", "niseko"), 2, 1, settings, DRAIN_MILLIS);
         deployment.start();
+        PeriodicTask balancer = new PeriodicTask(
+                "balancer",
+                BALANCER_LAG_MILLIS,
+                () -> balanced.replace(deployment.routers().stream()
+                        .filter(LocalDeployment.RouterNode::isReady)
+                        .toList()));
+        balanced.replace(deployment.routers());
+        balancer.start();
         ExecutorService threads = Executors.newCachedThreadPool();
         List<Future<?>> callers = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
             int number = i;
-            callers.add(threads.submit(() -> callUntilStopped(deployment, number, running)));
+            callers.add(threads.submit(() -> callUntilStopped(number, running)));
         }
         Thread.sleep(PHASE_MILLIS / 2);
         LocalDeployment.EngineNode first = deployment.engines().get(0);
@@ -67,6 +86,7 @@
         }
         agentStop.get();
         threads.shutdown();
+        balancer.stop();
         return result(
                 Math.max(0, first.engine().lastAcceptedMillis() - noticeMillis),
                 Math.max(0, second.lastAcceptedMillis() - refusalMillis),
@@ -74,11 +94,13 @@
                 routerStopMillis);
     }
 
-    private Void callUntilStopped(LocalDeployment deployment, int number, AtomicBoolean running)
-            throws InterruptedException {
+    private Void callUntilStopped(int number, AtomicBoolean running) throws InterruptedException {
         HttpClient http = HttpClient.newHttpClient();
         for (int call = 0; running.get(); call++) {
-            if (callOnce(deployment, http, number, "report " + number + "-" + call)) {
+            int tokens = number % LONG_ANSWER_CALLERS == 0
+                    ? LONG_ANSWER_TOKENS
+                    : MIN_TOKENS + (number * 7 + call * 13) % TOKENS_RANGE;
+            if (callOnce(http, number, "report " + number + "-" + call, tokens)) {
                 complete.incrementAndGet();
             } else {
                 lost.incrementAndGet();
@@ -88,19 +110,16 @@
     }
 
     /** Makes one request and resumes it at another ready router after each failure. */
-    private boolean callOnce(LocalDeployment deployment, HttpClient http, int number, String prompt)
-            throws InterruptedException {
+    private boolean callOnce(HttpClient http, int number, String prompt, int maxTokens) throws InterruptedException {
         ObjectNode body = HttpStandIn.MAPPER.createObjectNode();
         body.put("service", LocalDeployment.SERVICE).put("prompt", prompt);
-        body.put("max_tokens", MAX_TOKENS).put("stream", true);
+        body.put("max_tokens", maxTokens).put("stream", true);
         String key = UUID.randomUUID().toString();
         List<Integer> tokenIds = new ArrayList<>();
         String[] lastEventId = {null};
         StreamClient client = new StreamClient(http, LocalDeployment.CALLER_KEY, "caller-" + number);
         for (int attempt = 0; attempt < MAX_TRIES; attempt++) {
-            List<LocalDeployment.RouterNode> ready = deployment.routers().stream()
-                    .filter(LocalDeployment.RouterNode::isReady)
-                    .toList();
+            List<LocalDeployment.RouterNode> ready = balanced.get();
             StreamClient.StreamEnd end = client.run(
                     ready.get((number + attempt) % ready.size()).address(),
                     body,
@@ -111,7 +130,7 @@
                         tokenIds.add(tokenId);
                     });
             if (end.complete()) {
-                return tokenIds.size() == MAX_TOKENS && new TokenOracle("v1", prompt).firstInvalid(tokenIds) < 0;
+                return tokenIds.size() == maxTokens && new TokenOracle("v1", prompt).firstInvalid(tokenIds) < 0;
             }
             retriesByReason
                     .computeIfAbsent(end.reason(), added -> new AtomicInteger())
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -137,7 +137,9 @@
             SharedLimits limits,
             DemandTable demand,
             Quarantine quarantine,
+            RouterMetrics metrics,
             Clock clock) {
+        AdmissionMetrics.register(metrics.registry(), admission, demand, quarantine);
         return new RouterExchange(
                 settings.name(), peers, config, admission, limits, demand, quarantine, clock, Clock.wall());
     }
