--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/OverloadScenario.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/OverloadScenario.java
@@ -112,6 +112,8 @@
             figures.put("goodput_" + load + "x_per_second", goodput);
             figures.put("callers_served_" + load + "x_ratio", average(repeated, phase -> phase.servedRatio(false)));
             figures.put("flooder_served_" + load + "x_ratio", average(repeated, phase -> phase.servedRatio(true)));
+            repeated.forEach(phase ->
+                    figures.withArray("goodputs_" + load + "x_per_second").add(phase.goodputPerSecond()));
             ObjectNode ends = figures.putObject("ends_" + load + "x");
             repeated.forEach(phase -> phase.ends.forEach(
                     (reason, count) -> ends.put(reason, ends.path(reason).asInt() + count.get())));
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/ConcurrencyTarget.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/ConcurrencyTarget.java
@@ -1,12 +1,13 @@
 package io.laburnummoor.core.connection;
 
-import java.util.concurrent.atomic.AtomicInteger;
+import io.laburnummoor.core.Snapshot;
 
 /**
  * Number of requests that one engine should have at once, learned from its reports.
  *
- * <p>While requests wait in the engine, its running count is what it can run; the target is that count and a small
- * reserve that keeps its batch full between reports. While none waits and it is nearly full, the target grows.
+ * <p>While requests wait in the engine, its running count is what it can run; the target is the greater of the last two
+ * such counts, because a report may fall between the end of one request and the start of the next, and a small reserve
+ * that keeps the batch full between reports. While none waits and the engine is nearly full, the target grows.
  */
 final class ConcurrencyTarget {
     /** Target of an engine that has not reported a queue yet. */
@@ -14,22 +15,32 @@
 
     private static final int RESERVE_DIVISOR = 8;
 
-    private final AtomicInteger target = new AtomicInteger(INITIAL);
+    private final Snapshot<State> state = new Snapshot<>(new State(INITIAL, 0));
 
     int get() {
-        return target.get();
+        return state.get().target;
     }
 
     void record(int runningCount, int waitingCount) {
-        target.updateAndGet(before -> {
+        state.update(before -> {
             if (waitingCount > 0 && runningCount > 0) {
-                return runningCount + reserve(runningCount);
+                int capacity = Math.max(runningCount, before.queuedRunningCount);
+                return new State(capacity + reserve(capacity), runningCount);
             }
-            boolean nearlyFull = runningCount >= before - reserve(before);
-            return nearlyFull ? before + reserve(before) : before;
+            int reserve = reserve(before.target);
+            boolean nearlyFull = runningCount >= before.target - reserve;
+            return nearlyFull ? new State(before.target + reserve, before.queuedRunningCount) : before;
         });
     }
 
+    /**
+     * What was learned.
+     *
+     * @param target number of requests
+     * @param queuedRunningCount running count of the last report with waiting requests
+     */
+    private record State(int target, int queuedRunningCount) {}
+
     private static int reserve(int count) {
         return Math.max(1, count / RESERVE_DIVISOR);
     }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/DemandTable.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/DemandTable.java
@@ -32,6 +32,7 @@
     private final Snapshot<Map<Long, Double>> shares = new Snapshot<>(Map.of());
     private final Map<Long, double[]> recentShares = new HashMap<>();
     private volatile int routerCount = 1;
+    private volatile long contactDeadlineMillis = Long.MIN_VALUE;
     private int round;
 
     /** Creates a table of the router with the given name. */
@@ -75,7 +76,7 @@
                 .values()
                 .removeIf(each ->
                         !each.demand.router().equals(self) && nowMillis - each.receivedAtMillis >= EXPIRY_MILLIS);
-        computeShares();
+        computeShares(nowMillis >= contactDeadlineMillis);
     }
 
     /** Returns announcements to send to one peer, the freshest first; each is sent a few times in all. */
@@ -96,6 +97,7 @@
 
     /** Takes over newer announcements of other routers. */
     public void merge(List<RouterDemand> received, long nowMillis) {
+        contactDeadlineMillis = nowMillis + EXPIRY_MILLIS;
         for (RouterDemand each : received) {
             if (!each.router().equals(self)) {
                 knownByRouter.compute(
@@ -127,7 +129,8 @@
         return routerCount == 1 ? 1 : 3 + log2(routerCount);
     }
 
-    private void computeShares() {
+    /** A router that has lost contact uses the least share: the others may use the rest. */
+    private void computeShares(boolean cutOff) {
         Known own = knownByRouter.get(self);
         if (own == null) {
             return;
@@ -139,8 +142,9 @@
         Map<Long, Long> totals = totals(own.demand.demandByKey());
         recentShares.keySet().retainAll(totals.keySet());
         totals.forEach((key, total) -> {
-            double wanted = (double) own.demand.demandByKey().getOrDefault(key, 0) / Math.max(1, total);
+            double part = (double) own.demand.demandByKey().getOrDefault(key, 0) / Math.max(1, total);
             double[] recent = recentShares.compute(key, (k, known) -> sized(known, window, floor));
+            double wanted = cutOff ? floor : part;
             recent[round % window] = wanted;
             double smallest = wanted;
             for (double each : recent) {
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/UpstreamStateTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/UpstreamStateTest.java
@@ -52,6 +52,16 @@
         assertThat(target.get(), is(expected));
     }
 
+    /** Guards against a report between two requests that halves the target of a full engine. */
+    @ParameterizedTest
+    @CsvSource({"4, 1, 5", "1, 4, 5", "4, 4, 5"})
+    void keepsTheTargetOverOneLowReport(int first, int second, int expected) {
+        ConcurrencyTarget target = new ConcurrencyTarget();
+        target.record(first, 3);
+        target.record(second, 3);
+        assertThat(target.get(), is(expected));
+    }
+
     private static UpstreamReport report(long incarnation, boolean alive, boolean leaving) {
         return new UpstreamReport(1, alive, incarnation, leaving, 0, 0, "v1", List.of());
     }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/DemandTableTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/DemandTableTest.java
@@ -35,4 +35,16 @@
         }
         assertThat(tables.get(0).share(KEY), closeTo(expected, 1e-9));
     }
+
+    /** Guards against routers that each take the whole limit because they cannot reach the others. */
+    @ParameterizedTest
+    @CsvSource({"2, 0.5", "4, 0.25", "1, 1.0"})
+    void usesTheLeastShareWithoutContact(int routers, double expected) {
+        DemandTable table = new DemandTable("router-0");
+        table.merge(List.of(), 0);
+        for (int round = 1; round <= 40; round++) {
+            table.startRound(Map.of(KEY, 50), routers, round, round * 1_000L);
+        }
+        assertThat(table.share(KEY), closeTo(expected, 1e-9));
+    }
 }
