Show and abort rollouts, tell operators the outcome, plan the loading of weights

Cause: operators need the evidence of a rollout, a way to stop it, and an outcome that cannot get lost; weights must be loaded before their step at the store's rate. Change: command rollout with status, events and abort by compare-and-swap; a webhook repeated until acknowledged; a plan that lays loads backwards from their times of need. The stand-ins' sockets no longer delay small writes.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
@@ -31,6 +31,7 @@
     private final List<String> adapters = new CopyOnWriteArrayList<>();
     private final SplittableRandom random;
     private final AtomicInteger runningCount = new AtomicInteger();
+    private final AtomicLong requestCount = new AtomicLong();
     private final AtomicLong generatedTokens = new AtomicLong();
     private final AtomicLong prefilledTokens = new AtomicLong();
     private volatile boolean dead;
@@ -83,6 +84,11 @@
         return List.copyOf(executedOrders);
     }
 
+    /** Returns the number of requests received so far. */
+    public long requestCount() {
+        return requestCount.get();
+    }
+
     /** Returns the number of streams that run now. */
     public int runningCount() {
         return runningCount.get();
@@ -112,6 +118,7 @@
 
     private void complete(HttpExchange exchange) throws IOException {
         JsonNode request = readJson(exchange);
+        requestCount.incrementAndGet();
         if (leaving) {
             writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("code", "leaving"));
             return;
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/HttpStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/HttpStandIn.java
@@ -24,6 +24,12 @@
         return thread;
     });
 
+    static {
+        // Without it small writes wait for delayed acknowledgements on connections that are not busy, which made the
+        // version with little traffic look slower.
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+    }
+
     HttpStandIn(String host, int port) {
         try {
             this.server = HttpServer.create(new InetSocketAddress(host, port), 1_000);
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -72,6 +72,13 @@
         }
     }
 
+    /** Adds one engine with other settings in each failure domain; must be called before the start. */
+    public List<EngineNode> addEngines(String idPrefix, List<String> failureDomains, EngineSettings engineSettings) {
+        int before = engines.size();
+        failureDomains.forEach(domain -> addEngine(idPrefix + "-" + domain, domain, engineSettings));
+        return List.copyOf(engines.subList(before, engines.size()));
+    }
+
     /** Starts all parts and waits until each router is ready. */
     public void start() throws InterruptedException {
         platform.setVms(engines.stream().map(EngineNode::upstream).toList());
@@ -134,6 +141,7 @@
                 MAX_BODY_BYTES,
                 0,
                 ROLLOUT_MIN_STEP_MILLIS,
+                "",
                 "WARN")));
     }
 
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -17,6 +17,7 @@
             "resume", new ResumeScenario(),
             "rollout-good", new RolloutScenario(true),
             "rollout-bad", new RolloutScenario(false),
+            "rollout-live", new RolloutLiveScenario(),
             "stale-order", new StaleOrderScenario()));
 
     @Parameter(description = "name of the scenario", required = true)
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/RolloutState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/RolloutState.java
@@ -67,8 +67,8 @@
         return changed(nextPhase, nextStep, nowMillis, lateReported, new Event(nowMillis, kind, detail));
     }
 
-    /** Returns this state after a rollback. */
-    RolloutState rolledBack(long nowMillis, String detail) {
+    /** Returns this state after a rollback, by the rules or by an operator. */
+    public RolloutState rolledBack(long nowMillis, String detail) {
         Event event = new Event(nowMillis, Phase.ROLLED_BACK.text(), detail);
         return changed(Phase.ROLLED_BACK, step, nowMillis, lateReported, event);
     }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RolloutModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RolloutModule.java
@@ -16,9 +16,11 @@
 import io.laburnummoor.core.version.SequentialEvaluation;
 import io.laburnummoor.router.connection.RolloutPeers;
 import io.laburnummoor.router.version.RolloutFollower;
+import io.laburnummoor.router.version.RolloutNotifier;
 import io.laburnummoor.router.version.RouterRolloutEvidence;
 import io.laburnummoor.router.version.StoredRollouts;
 import io.laburnummoor.wire.generated.RolloutService;
+import io.laburnummoor.wire.process.JsonHttp;
 import io.laburnummoor.wire.version.RolloutJson;
 
 /** Wires a router's part in rollouts. */
@@ -90,8 +92,18 @@
             EvidenceInbox inbox,
             RolloutPeers peers,
             KeyValueStore store,
-            RolloutStateCodec codec) {
+            RolloutStateCodec codec,
+            JsonHttp http) {
         return new RolloutFollower(
-                declarations, observers, shares, controller, inbox, peers, store, codec, settings.name());
+                declarations,
+                observers,
+                shares,
+                controller,
+                inbox,
+                peers,
+                store,
+                codec,
+                new RolloutNotifier(store, http, settings.rolloutWebhook()),
+                settings.name());
     }
 }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMain.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMain.java
@@ -21,6 +21,7 @@
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("serve", new ServeCommand());
         commands.put("apply", new ApplyCommand());
+        commands.put("rollout", new RolloutCommand());
         JCommander.Builder builder = JCommander.newBuilder().programName("laburnummoor-router");
         commands.forEach(builder::addCommand);
         JCommander parser = builder.build();
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterSettings.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterSettings.java
@@ -19,6 +19,7 @@
  * @param maxBodyBytes greatest size of a request body
  * @param drainMillis time that a stopping router gives to running requests
  * @param rolloutMinStepMillis shortest time between two steps of a rollout
+ * @param rolloutWebhook address that outcomes of rollouts are sent to, empty for none
  * @param logLevel lowest level that is logged
  */
 public record RouterSettings(
@@ -33,6 +34,7 @@
         int maxBodyBytes,
         long drainMillis,
         long rolloutMinStepMillis,
+        String rolloutWebhook,
         String logLevel) {
 
     /** Reads and checks a settings file. */
@@ -50,6 +52,7 @@
                 settings.integerOr("max_body_bytes", 4 << 20, 1_024, 64 << 20),
                 settings.integerOr("drain_millis", 30_000, 0, 3_600_000),
                 settings.integerOr("rollout_min_step_millis", 30_000, 1_000, 3_600_000),
+                settings.textOr("rollout_webhook", ""),
                 settings.textOr("log_level", "INFO"));
         settings.throwIfFaulty();
         return result;
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/version/RolloutFollower.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/version/RolloutFollower.java
@@ -46,6 +46,7 @@
     private final RolloutPeers peers;
     private final KeyValueStore store;
     private final RolloutStateCodec codec;
+    private final RolloutNotifier notifier;
     private final String ownName;
     private final PeriodicTask task = new PeriodicTask("rollouts", EvidenceRecorder.PERIOD_MILLIS, this::runPeriod);
     private long periodCount;
@@ -60,6 +61,7 @@
             RolloutPeers peers,
             KeyValueStore store,
             RolloutStateCodec codec,
+            RolloutNotifier notifier,
             String ownName) {
         this.declarations = declarations;
         this.observers = observers;
@@ -69,6 +71,7 @@
         this.peers = peers;
         this.store = store;
         this.codec = codec;
+        this.notifier = notifier;
         this.ownName = ownName;
     }
 
@@ -145,7 +148,11 @@
         for (RolloutDeclaration each : wanted) {
             VersionedValue value = store.get(RolloutController.key(each.name()));
             if (value != null) {
-                accept(codec.decode(value.value()));
+                RolloutState state = codec.decode(value.value());
+                accept(state);
+                if (controller.isControlling()) {
+                    notifier.onPeriod(state);
+                }
             }
         }
     }
