--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/EngineStandIn.java
@@ -38,6 +38,8 @@
     private final AtomicInteger runningCount = new AtomicInteger();
     private final AtomicInteger waitingCount = new AtomicInteger();
     private final Semaphore slots;
+    private final AtomicLong requestCount = new AtomicLong();
+    private final AtomicLong firstAttemptCount = new AtomicLong();
     private final AtomicLong generatedTokens = new AtomicLong();
     private final AtomicLong prefilledTokens = new AtomicLong();
     private final AtomicInteger refusedCount = new AtomicInteger();
@@ -108,6 +110,16 @@
         return dead;
     }
 
+    /** Returns the number of requests received so far, those that continue or repeat an answer among them. */
+    public long requestCount() {
+        return requestCount.get();
+    }
+
+    /** Returns the number of first attempts of answers received so far. */
+    public long firstAttemptCount() {
+        return firstAttemptCount.get();
+    }
+
     /** Returns the number of streams that run now. */
     public int runningCount() {
         return runningCount.get();
@@ -137,6 +149,10 @@
 
     private void complete(HttpExchange exchange) throws IOException {
         JsonNode request = readJson(exchange);
+        requestCount.incrementAndGet();
+        if (!request.path("priority").asText().equalsIgnoreCase("resumed")) {
+            firstAttemptCount.incrementAndGet();
+        }
         if (leaving) {
             refusedCount.incrementAndGet();
             writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("code", "leaving"));
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -26,6 +26,7 @@
             Map.entry("resume", new ResumeScenario()),
             Map.entry("rollout-bad", new RolloutScenario(false)),
             Map.entry("rollout-good", new RolloutScenario(true)),
+            Map.entry("rollout-live", new RolloutLiveScenario()),
             Map.entry("stale-order", new StaleOrderScenario())));
 
     @Parameter(description = "name of the scenario", required = true)
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMain.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMain.java
@@ -29,6 +29,7 @@
         commands.put("diff", new DiffCommand());
         commands.put("apply", new ApplyCommand());
         commands.put("status", new StatusCommand());
+        commands.put("rollout", new RolloutCommand());
         JCommander.Builder builder = JCommander.newBuilder().programName("laburnummoor-router");
         commands.forEach(builder::addCommand);
         JCommander parser = builder.build();
