--- a/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentHandler.java
+++ b/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentHandler.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.laburnummoor.agent.connection.UpstreamProbe;
-import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.connection.UpstreamReport;
 import io.laburnummoor.core.process.AnswerJournal;
 import io.laburnummoor.core.request.FinishReason;
@@ -28,21 +26,15 @@
 
 /** Answers the Thrift calls of routers. */
 final class AgentHandler implements AgentService.Iface {
-    /** Age of a router's last call at which it no longer counts as alive. */
-    private static final long WRITER_TIMEOUT_MILLIS = 2_000;
-
     private final String agentId;
     private final UpstreamProbe probe;
     private final AnswerJournal journal;
-    private final Clock clock;
     private final AtomicBoolean leaving = new AtomicBoolean();
-    private final ConcurrentHashMap<String, Long> writerDeadlinesMillis = new ConcurrentHashMap<>();
 
-    AgentHandler(String agentId, UpstreamProbe probe, AnswerJournal journal, Clock clock) {
+    AgentHandler(String agentId, UpstreamProbe probe, AnswerJournal journal) {
         this.agentId = agentId;
         this.probe = probe;
         this.journal = journal;
-        this.clock = clock;
     }
 
     /** Announces that the upstream takes no new work any more. */
@@ -52,7 +44,6 @@
 
     @Override
     public AgentStatus status(String caller) {
-        recordContact(caller);
         UpstreamReport report = probe.report();
         return new AgentStatus(
                 agentId,
@@ -72,12 +63,10 @@
         return switch (request.getMode()) {
             case READ -> reply(true, journal.find(id));
             case TAKE_OVER -> {
-                recordContact(request.getWriter());
                 JournalEntry taken = journal.takeOver(id, request.getEpoch(), request.getWriter());
                 yield reply(taken != null && taken.epoch() == request.getEpoch(), taken);
             }
             case WRITE -> {
-                recordContact(request.getWriter());
                 boolean accepted = journal.open(new JournalOpening(
                         id,
                         request.getWriter(),
@@ -93,7 +82,6 @@
 
     @Override
     public AppendReply append(AppendBatch batch) {
-        recordContact(batch.getWriter());
         List<AppendOutcome> outcomes = new ArrayList<>(batch.getItemsSize());
         for (AppendItem item : batch.getItems()) {
             outcomes.add(AppendOutcome.valueOf(appendOne(item).name()));
@@ -114,19 +102,8 @@
     private OpenReply reply(boolean accepted, @Nullable JournalEntry entry) {
         OpenReply reply = new OpenReply(accepted);
         if (entry != null) {
-            reply.setFound(WireMessages.toWire(FoundAnswer.of(entry, isAlive(entry.writer()))));
+            reply.setFound(WireMessages.toWire(FoundAnswer.of(entry, journal.isWriterAlive(entry))));
         }
         return reply;
     }
-
-    private void recordContact(@Nullable String caller) {
-        if (caller != null) {
-            writerDeadlinesMillis.put(caller, clock.nowMillis() + WRITER_TIMEOUT_MILLIS);
-        }
-    }
-
-    private boolean isAlive(String writer) {
-        Long deadlineMillis = writerDeadlinesMillis.get(writer);
-        return deadlineMillis != null && clock.nowMillis() < deadlineMillis;
-    }
 }
--- a/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentModule.java
+++ b/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentModule.java
@@ -39,7 +39,7 @@
     @Provides
     @Singleton
     List<Service> services(AnswerJournal journal, UpstreamProbe probe) {
-        AgentHandler handler = new AgentHandler(settings.agentId(), probe, journal, Clock.monotonic());
+        AgentHandler handler = new AgentHandler(settings.agentId(), probe, journal);
         return List.of(probe, new MetricsServer(settings, journal), new AgentServer(settings, handler, journal));
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AnswerJournal.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AnswerJournal.java
@@ -19,6 +19,9 @@
  * the finished entries that expire soonest; a running entry is never dropped for a new one.
  */
 public final class AnswerJournal {
+    /** Age of an entry's last change at which its writer no longer counts as alive; it renews the entry each second. */
+    static final long WRITER_TIMEOUT_MILLIS = 2_000;
+
     private final ConcurrentHashMap<RequestId, JournalEntry> entries = new ConcurrentHashMap<>();
     private final AtomicLong sizeBytes = new AtomicLong();
     private final long maxSizeBytes;
@@ -44,6 +47,14 @@
         return entry == null || entry.expiryDeadlineMillis() <= clock.nowMillis() ? null : entry;
     }
 
+    /**
+     * Returns whether the writer has changed or renewed the entry lately. The router's heartbeats do not count, because
+     * a router that was started again under its old name no longer writes the entry.
+     */
+    public boolean isWriterAlive(JournalEntry entry) {
+        return clock.nowMillis() < entry.expiryDeadlineMillis() - retentionMillis + WRITER_TIMEOUT_MILLIS;
+    }
+
     /**
      * Opens an entry with all that its writer knows.
      *
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/request/SimulatedNetwork.java
@@ -0,0 +1,330 @@
+package io.laburnummoor.core.request;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import io.laburnummoor.core.process.AnswerJournal;
+import org.jspecify.annotations.Nullable;
+
+/** Simulated time, journal agents and engines, and the faults between them; all choices follow from one seed. */
+final class SimulatedNetwork {
+    static final long CALL_TIMEOUT_MILLIS = 250;
+    static final int AGENTS = 4;
+    static final int ENGINES = 3;
+
+    private static final long AGENT_DEATH_KNOWN_MILLIS = 3_000;
+    private static final int READ_CANDIDATES = 2;
+
+    final SplittableRandom random;
+    final Map<Integer, Long> parentOfToken = new HashMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::sequence));
+    private final List<Agent> agents = new ArrayList<>();
+    private final List<Engine> engines = new ArrayList<>();
+    private final Set<String> partitions = new HashSet<>();
+    boolean messagesRepeated;
+    private long nowMillis;
+    private long sequence;
+    private int nextTokenId;
+
+    SimulatedNetwork(long seed) {
+        random = new SplittableRandom(seed);
+        for (int i = 0; i < AGENTS; i++) {
+            agents.add(new Agent(i));
+        }
+        for (int i = 0; i < ENGINES; i++) {
+            engines.add(new Engine());
+        }
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    void after(long delayMillis, Runnable action) {
+        events.add(new Event(nowMillis + delayMillis, sequence++, action));
+    }
+
+    void runUntil(long endMillis) {
+        while (!events.isEmpty() && events.peek().atMillis() <= endMillis) {
+            Event next = events.poll();
+            nowMillis = next.atMillis();
+            next.action().run();
+        }
+        nowMillis = endMillis;
+    }
+
+    long latency() {
+        return 1 + random.nextInt(4);
+    }
+
+    void setPartitioned(String router, int agent, boolean partitioned) {
+        if (partitioned) {
+            partitions.add(router + agent);
+        } else {
+            partitions.remove(router + agent);
+        }
+    }
+
+    void loseAgent(int index, long durationMillis) {
+        Agent agent = agents.get(index);
+        agent.journal = agent.emptyJournal();
+        agent.deadSinceMillis = nowMillis;
+        after(durationMillis, () -> agent.deadSinceMillis = Long.MAX_VALUE);
+    }
+
+    void crashEngine(int index, long durationMillis) {
+        Engine engine = engines.get(index);
+        engine.incarnation++;
+        engine.deadUntilMillis = nowMillis + durationMillis;
+    }
+
+    void pauseEngine(int index, long durationMillis) {
+        engines.get(index).pausedUntilMillis = nowMillis + durationMillis;
+    }
+
+    JournalAgents agentsOf(String router, String domain, Consumer<Runnable> routerExecutor) {
+        return new JournalAgents() {
+            @Override
+            public @Nullable JournalAgent choose(RequestId id, Set<String> excludedAgentIds) {
+                List<JournalAgent> links = links().stream()
+                        .filter(link -> !excludedAgentIds.contains(link.id()))
+                        .toList();
+                return links.stream()
+                        .filter(JournalAgent::isInOtherDomain)
+                        .findFirst()
+                        .orElse(links.isEmpty() ? null : links.get(0));
+            }
+
+            @Override
+            public List<JournalAgent> readCandidates(RequestId id, @Nullable String namedAgentId) {
+                List<JournalAgent> links = links();
+                List<JournalAgent> chosen = new ArrayList<>(links.subList(0, Math.min(READ_CANDIDATES, links.size())));
+                links.stream()
+                        .filter(link -> link.id().equals(namedAgentId) && !chosen.contains(link))
+                        .forEach(chosen::add);
+                return chosen;
+            }
+
+            private List<JournalAgent> links() {
+                return agents.stream()
+                        .filter(agent -> agent.deadSinceMillis == Long.MAX_VALUE
+                                || nowMillis - agent.deadSinceMillis < AGENT_DEATH_KNOWN_MILLIS)
+                        .<JournalAgent>map(agent -> new Link(agent, router, domain, routerExecutor))
+                        .toList();
+            }
+        };
+    }
+
+    /** Starts a stream on a random engine and returns its cancellation, or null if no engine is alive. */
+    @Nullable
+    Runnable startStream(List<Token> prefix, int maxTokens, StreamEvents listener) {
+        List<Engine> alive = engines.stream()
+                .filter(engine -> engine.deadUntilMillis <= nowMillis)
+                .toList();
+        if (alive.isEmpty()) {
+            return null;
+        }
+        Stream stream = new Stream(alive.get(random.nextInt(alive.size())), maxTokens, listener);
+        for (Token token : prefix) {
+            stream.chain = chain(stream.chain, token.id());
+        }
+        stream.offset = prefix.size();
+        after(20 + latency(), stream::step);
+        return () -> stream.cancelled = true;
+    }
+
+    static long chain(long before, int tokenId) {
+        return (before ^ tokenId) * 0x9e3779b97f4a7c15L + 1;
+    }
+
+    interface StreamEvents {
+        void onToken(int offset, Token token);
+
+        void onEnd(int tokenCount);
+
+        void onFailure();
+    }
+
+    private record Event(long atMillis, long sequence, Runnable action) {}
+
+    private final class Agent {
+        private final String id;
+        private final String domain;
+        private AnswerJournal journal = emptyJournal();
+        private long deadSinceMillis = Long.MAX_VALUE;
+
+        Agent(int index) {
+            this.id = "agent" + index;
+            this.domain = "domain" + index % 2;
+        }
+
+        private AnswerJournal emptyJournal() {
+            return new AnswerJournal(1 << 20, 600_000, () -> nowMillis);
+        }
+    }
+
+    private static final class Engine {
+        private long deadUntilMillis;
+        private long pausedUntilMillis;
+        private int incarnation;
+    }
+
+    private final class Stream {
+        private final Engine engine;
+        private final int incarnation;
+        private final int maxTokens;
+        private final StreamEvents listener;
+        private long chain;
+        private int offset;
+        private boolean cancelled;
+
+        Stream(Engine engine, int maxTokens, StreamEvents listener) {
+            this.engine = engine;
+            this.incarnation = engine.incarnation;
+            this.maxTokens = maxTokens;
+            this.listener = listener;
+        }
+
+        void step() {
+            if (cancelled) {
+                return;
+            }
+            if (engine.incarnation != incarnation) {
+                after(latency(), listener::onFailure);
+            } else if (nowMillis < engine.pausedUntilMillis) {
+                after(engine.pausedUntilMillis - nowMillis, this::step);
+            } else if (offset == maxTokens) {
+                after(8, () -> listener.onEnd(maxTokens));
+            } else {
+                sendToken();
+                after(3 + random.nextInt(15), this::step);
+            }
+        }
+
+        private void sendToken() {
+            Token token = new Token(nextTokenId++, "t");
+            parentOfToken.put(token.id(), chain);
+            chain = chain(chain, token.id());
+            int sent = offset++;
+            after(latency(), () -> listener.onToken(sent, token));
+            if (messagesRepeated && random.nextInt(4) == 0) {
+                after(random.nextInt(40), () -> listener.onToken(sent, token));
+            }
+        }
+    }
+
+    /** The connection of one router to one agent; calls may be lost, late or carried out twice. */
+    private final class Link implements JournalAgent {
+        private final Agent agent;
+        private final String router;
+        private final String routerDomain;
+        private final Consumer<Runnable> routerExecutor;
+
+        Link(Agent agent, String router, String routerDomain, Consumer<Runnable> routerExecutor) {
+            this.agent = agent;
+            this.router = router;
+            this.routerDomain = routerDomain;
+            this.routerExecutor = routerExecutor;
+        }
+
+        @Override
+        public String id() {
+            return agent.id;
+        }
+
+        @Override
+        public boolean isInOtherDomain() {
+            return !agent.domain.equals(routerDomain);
+        }
+
+        @Override
+        public void read(RequestId id, Consumer<@Nullable JournalReply> replyHandler) {
+            call(journal -> new JournalReply(true, found(journal.find(id))), replyHandler);
+        }
+
+        @Override
+        public void takeOver(RequestId id, long epoch, String writer, Consumer<@Nullable JournalReply> replyHandler) {
+            call(
+                    journal -> {
+                        JournalEntry taken = journal.takeOver(id, epoch, writer);
+                        return new JournalReply(taken != null && taken.epoch() == epoch, found(taken));
+                    },
+                    replyHandler);
+        }
+
+        @Override
+        public void open(JournalOpening opening, Consumer<@Nullable JournalReply> replyHandler) {
+            call(
+                    journal -> {
+                        boolean accepted = journal.open(opening);
+                        return new JournalReply(accepted, accepted ? null : found(journal.find(opening.id())));
+                    },
+                    replyHandler);
+        }
+
+        @Override
+        public void append(JournalAppend append, JournalListener listener) {
+            call(journal -> journal.append(append), result -> {
+                if (result == AnswerJournal.AppendResult.ACKNOWLEDGED) {
+                    listener.onAcknowledged(append.offset() + append.tokens().size(), append.finishReason() != null);
+                } else if (result == AnswerJournal.AppendResult.FENCED) {
+                    listener.onFenced();
+                } else {
+                    listener.onLost();
+                }
+            });
+        }
+
+        @Override
+        public boolean equals(@Nullable Object other) {
+            return other instanceof Link link && link.agent == agent;
+        }
+
+        @Override
+        public int hashCode() {
+            return agent.hashCode();
+        }
+
+        private <T> void call(Function<AnswerJournal, T> operation, Consumer<@Nullable T> replyHandler) {
+            boolean[] answered = {false};
+            after(latency(), () -> carryOut(operation, replyHandler, answered));
+            if (messagesRepeated && random.nextInt(4) == 0) {
+                after(random.nextInt(300), () -> carryOut(operation, replyHandler, answered));
+            }
+            after(CALL_TIMEOUT_MILLIS, () -> reply(answered, () -> replyHandler.accept(null)));
+        }
+
+        private <T> void carryOut(
+                Function<AnswerJournal, T> operation, Consumer<@Nullable T> replyHandler, boolean[] answered) {
+            if (agent.deadSinceMillis != Long.MAX_VALUE || partitions.contains(router + agent.id.charAt(5))) {
+                return;
+            }
+            T result = operation.apply(agent.journal);
+            // One reply in 50 is lost after the operation has taken effect.
+            if (random.nextInt(50) != 0 || !messagesRepeated) {
+                after(latency(), () -> reply(answered, () -> replyHandler.accept(result)));
+            }
+        }
+
+        private void reply(boolean[] answered, Runnable handler) {
+            if (!answered[0]) {
+                answered[0] = true;
+                routerExecutor.accept(handler);
+            }
+        }
+
+        private @Nullable FoundAnswer found(@Nullable JournalEntry entry) {
+            return entry == null ? null : FoundAnswer.of(entry, agent.journal.isWriterAlive(entry));
+        }
+    }
+}
