Add the bench scenario router-death

Change: a router in a process of its own is killed in the middle of 18 answers, half of them with equal prompts under one organisation; the callers resume on two other routers with their key and last event id. A key used again with another body must get key_reused. A second router process is stopped with SIGSTOP and returns after 4 s; what it still delivers must be a prefix of the resumed answer, and all its writers must end with superseded.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -99,6 +99,22 @@
         return routers;
     }
 
+    /** Returns settings of a further router, for one that runs in a process of its own. */
+    public RouterSettings newRouterSettings(String name, String domain) {
+        return new RouterSettings(
+                name,
+                domain,
+                HOST,
+                freePort(),
+                freePort(),
+                freePort(),
+                platformAddress(""),
+                platformAddress("/vms"),
+                MAX_BODY_BYTES,
+                0,
+                "WARN");
+    }
+
     /** Returns a client of the key-value service. */
     public KeyValueStore keyValueStore() {
         return new EtcdKeyValueStore(new JsonHttp(PLATFORM_TIMEOUT_MILLIS), platformAddress(""));
@@ -121,18 +137,7 @@
     }
 
     private void addRouter(String name, String domain) {
-        routers.add(new RouterNode(new RouterSettings(
-                name,
-                domain,
-                HOST,
-                freePort(),
-                freePort(),
-                freePort(),
-                platformAddress(""),
-                platformAddress("/vms"),
-                MAX_BODY_BYTES,
-                0,
-                "WARN")));
+        routers.add(new RouterNode(newRouterSettings(name, domain)));
     }
 
     private void applyConfig() {
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -13,7 +13,8 @@
 final class ScenarioCommand implements BenchCommand {
     private static final int EXIT_USAGE = 2;
 
-    private static final Map<String, Scenario> SCENARIOS = new TreeMap<>(Map.of("resume", new ResumeScenario()));
+    private static final Map<String, Scenario> SCENARIOS =
+            new TreeMap<>(Map.of("resume", new ResumeScenario(), "router-death", new RouterDeathScenario()));
 
     @Parameter(description = "name of the scenario", required = true)
     private List<String> names = new ArrayList<>();
