Bound resumptions, restart on another version, notice callers that left

Change: RetryBudget bounds the resumptions that wait for a first token at 16 or a fifth of the running generations; the others wait in deadline order. AttemptLauncher holds what GenerationSession did for attempts. An answer of which nothing was delivered starts again on another version when its own is gone. A stream without tokens gets a comment every 2 s, so that a caller that left is noticed. In each failure domain the same 32 agents keep journals (journal_agents_per_domain).

Faults found: after body_too_large the connection was closed without notice, and a caller's next request on it failed; the response now says Connection: close. LocalDeployment took ports from the range of outgoing connections, so a router sometimes could not bind; ports now lie below that range.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -1,12 +1,14 @@
 package io.laburnummoor.bench.process;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 import com.google.inject.Guice;
 import com.google.inject.Injector;
@@ -54,6 +56,10 @@
     private static final int JOURNAL_MAX_BYTES = 32 << 20;
     private static final long JOURNAL_RETENTION_MILLIS = 600_000;
 
+    private static final int FIRST_PORT = 10_000;
+    private static final int LAST_PORT = 32_000;
+    private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
+
     private final PlatformStandIn platform = new PlatformStandIn(HOST, 0);
     private final List<EngineNode> engines = new ArrayList<>();
     private final List<RouterNode> routers = new ArrayList<>();
@@ -112,7 +118,8 @@
                 platformAddress("/vms"),
                 MAX_BODY_BYTES,
                 0,
-                "WARN");
+                "WARN",
+                RouterSettings.DEFAULT_JOURNAL_AGENTS_PER_DOMAIN);
     }
 
     /** Returns a client of the key-value service. */
@@ -162,11 +169,17 @@
         return URI.create("http://" + HOST + ":" + platform.port() + path);
     }
 
+    /** Ports below the range from which the system takes those of outgoing connections, which could be in use later. */
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
-        } catch (IOException cause) {
-            throw new UncheckedIOException(cause);
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                if (USED_PORTS.add(port)) {
+                    return socket.getLocalPort();
+                }
+            } catch (IOException inUse) {
+                // Another port is tried.
+            }
         }
     }
 
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AnswerJournal.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AnswerJournal.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Appends tokens and the end at an offset. Tokens that the entry already holds are passed over, so a repeated append
-     * is harmless.
+     * Appends tokens and the end at an offset. Tokens that the entry already holds are passed over, so a repeated
+     * append is harmless.
      */
     public AppendResult append(JournalAppend append) {
         AppendResult[] result = {AppendResult.MISSING};
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RetryBudget.java
@@ -0,0 +1,114 @@
+package io.laburnummoor.core.process;
+
+import java.util.Comparator;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
+
+/**
+ * Bounds how many resumptions wait for their first token at the same time, so that the loss of a failure domain does
+ * not fill the engines that are left with prefills and starve new work. Resumptions over the bound wait in the order
+ * of their deadlines.
+ *
+ * <pre>{@code
+ * RetryBudget.Permit permit = budget.request(deadlineMillis, () -> startAttempt());
+ * permit.release(); // at the first token, or when the attempt has ended; also while it still waits
+ * }</pre>
+ */
+public final class RetryBudget {
+    private static final Comparator<Permit> BY_DEADLINE = Comparator.<Permit>comparingLong(
+                    permit -> permit.deadlineMillis)
+            .thenComparingLong(permit -> permit.number);
+
+    private final IntSupplier limit;
+    private final AtomicInteger grantedCount = new AtomicInteger();
+    private final AtomicLong lastNumber = new AtomicLong();
+    private final ConcurrentSkipListSet<Permit> waiting = new ConcurrentSkipListSet<>(BY_DEADLINE);
+
+    /**
+     * Creates a budget.
+     *
+     * @param limit current bound, read at each decision; a bound below 1 counts as 1
+     */
+    public RetryBudget(IntSupplier limit) {
+        this.limit = limit;
+    }
+
+    /**
+     * Asks for a permit; the task runs once it is granted, in the calling thread or in one that releases a permit.
+     *
+     * @param deadlineMillis time by which the resumption has to succeed; the earliest is served first
+     */
+    public Permit request(long deadlineMillis, Runnable task) {
+        Permit permit = new Permit(deadlineMillis, lastNumber.incrementAndGet(), task);
+        waiting.add(permit);
+        grantWaiting();
+        return permit;
+    }
+
+    /** Returns the number of permits that are granted and not released. */
+    public int grantedCount() {
+        return grantedCount.get();
+    }
+
+    /** Returns the number of resumptions that wait. */
+    public int waitingCount() {
+        return waiting.size();
+    }
+
+    private void grantWaiting() {
+        while (!waiting.isEmpty() && tryCount()) {
+            Permit next = waiting.pollFirst();
+            if (next == null) {
+                // Another thread took the last one; a request that came meanwhile is seen by the next round.
+                grantedCount.decrementAndGet();
+            } else {
+                next.grant();
+            }
+        }
+    }
+
+    private boolean tryCount() {
+        int bound = Math.max(1, limit.getAsInt());
+        int before = grantedCount.getAndUpdate(count -> count < bound ? count + 1 : count);
+        return before < bound;
+    }
+
+    /** The place of one resumption. */
+    public final class Permit {
+        private static final int WAITING = 0;
+        private static final int GRANTED = 1;
+        private static final int RELEASED = 2;
+
+        private final long deadlineMillis;
+        private final long number;
+        private final Runnable task;
+        private final AtomicInteger state = new AtomicInteger(WAITING);
+
+        private Permit(long deadlineMillis, long number, Runnable task) {
+            this.deadlineMillis = deadlineMillis;
+            this.number = number;
+            this.task = task;
+        }
+
+        /** Gives the permit back or leaves the queue; further calls have no effect. */
+        public void release() {
+            int before = state.getAndSet(RELEASED);
+            if (before == WAITING) {
+                waiting.remove(this);
+            } else if (before == GRANTED) {
+                grantedCount.decrementAndGet();
+                grantWaiting();
+            }
+        }
+
+        private void grant() {
+            if (state.compareAndSet(WAITING, GRANTED)) {
+                task.run();
+            } else {
+                grantedCount.decrementAndGet();
+            }
+        }
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/Answer.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/Answer.java
@@ -42,6 +42,7 @@
     private int fruitlessAttempts;
     private int journaledCount;
     private int deliveredCount;
+    private boolean hasDelivered;
     private boolean attached;
     private boolean ended;
     private @Nullable FinishReason finishReason;
@@ -75,6 +76,13 @@
         startCurrent(accepted.isEmpty() ? AttemptReason.FIRST : AttemptReason.RESUME, nowMillis);
     }
 
+    /** Handles that an attempt was sent to an upstream, which may be later than its start if it had to wait. */
+    public void onAttemptSent(int attempt, long nowMillis) {
+        if (isLive(attempt) && finishReason == null) {
+            silenceDeadlineMillis = silencePolicy.firstTokenDeadlineMillis(nowMillis);
+        }
+    }
+
     /** Handles a token from an attempt. */
     public void onToken(int attempt, int offset, Token token, long nowMillis) {
         if (!isLive(attempt) || finishReason != null) {
@@ -144,6 +152,24 @@
         }
     }
 
+    /** Starts the answer again from the beginning, because the version that it was bound to is gone. */
+    public void restart(long nowMillis) {
+        if (hasDelivered) {
+            throw new IllegalStateException("tokens were delivered");
+        }
+        cancelLive();
+        hedgeAttempt = NO_ATTEMPT;
+        accepted.clear();
+        journaledCount = 0;
+        fruitlessAttempts = 0;
+        startCurrent(AttemptReason.FIRST, nowMillis);
+    }
+
+    /** Returns whether a caller holds tokens of this answer. */
+    public boolean hasDelivered() {
+        return hasDelivered;
+    }
+
     /** Handles the loss of the journal's copy: delivery waits until another agent holds the tokens. */
     public void onJournalMoved() {
         journaledCount = 0;
@@ -153,6 +179,7 @@
     public void onAttach(int offset) {
         attached = true;
         deliveredCount = offset;
+        hasDelivered |= offset > 0;
         deliverJournaled();
     }
 
@@ -238,7 +265,9 @@
     private void startCurrent(AttemptReason reason, long nowMillis) {
         retryAtMillis = Long.MAX_VALUE;
         currentAttempt = ++lastAttempt;
-        silenceDeadlineMillis = silencePolicy.firstTokenDeadlineMillis(nowMillis);
+        // A resumption may wait for its turn; it is not suspect before it is sent.
+        silenceDeadlineMillis =
+                reason == AttemptReason.RESUME ? Long.MAX_VALUE : silencePolicy.firstTokenDeadlineMillis(nowMillis);
         effects.startAttempt(currentAttempt, accepted(), reason);
     }
 
@@ -287,6 +316,7 @@
         if (attached && deliveredCount < journaledCount) {
             int offset = deliveredCount;
             deliveredCount = journaledCount;
+            hasDelivered = true;
             effects.deliver(offset, List.copyOf(accepted.subList(offset, deliveredCount)));
         }
     }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalOpener.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalOpener.java
@@ -8,8 +8,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Finds the journal of a request and decides how this router goes on with it; if the answer runs, the router becomes its
- * writer on the agent that holds the newest copy.
+ * Finds the journal of a request and decides how this router goes on with it; if the answer runs, the router becomes
+ * its writer on the agent that holds the newest copy.
  *
  * <p>All steps run on the serial executor of the request.
  */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalWriter.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/JournalWriter.java
@@ -23,12 +23,12 @@
     private final String routerName;
     private final Executor serial;
     private final Answer answer;
-    private final Binding binding;
     private final int nonce;
     private final Listener listener;
     private final Set<String> failedAgentIds = new HashSet<>();
     private final List<EpochSpan> history = new ArrayList<>();
 
+    private Binding binding;
     private @Nullable JournalAgent agent;
     private boolean open;
     private boolean searching;
@@ -78,6 +78,18 @@
         }
     }
 
+    /**
+     * Opens the entry again without tokens for another binding. The history starts anew, so that positions in the
+     * output of the binding before are not covered.
+     */
+    public void restart(Binding newBinding) {
+        binding = newBinding;
+        EpochSpan next = new EpochSpan(EpochSpan.nextEpoch(epoch(), nonce), 0);
+        history.clear();
+        history.add(next);
+        openOnNextAgent();
+    }
+
     /** Sends accepted tokens. */
     public void append(int offset, List<Token> tokens) {
         send(offset, tokens, null);
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/request/AnswerTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/request/AnswerTest.java
@@ -95,6 +95,38 @@
                         "start 2 HEDGE",
                         "cancel 2",
                         "append 1"),
+                script(
+                        "a restart drops what was not delivered",
+                        5,
+                        answer -> {
+                            answer.onToken(1, 0, token(0), 0);
+                            answer.restart(10);
+                            answer.onToken(1, 1, token(1), 20);
+                            answer.onToken(2, 0, token(5), 20);
+                            answer.onJournalAck(1, false);
+                        },
+                        "start 1 FIRST",
+                        "append 0",
+                        "cancel 1",
+                        "start 2 FIRST",
+                        "cancel 1",
+                        "append 0",
+                        "deliver 0+1"),
+                script(
+                        "nothing is delivered while the journal moves",
+                        5,
+                        answer -> {
+                            answer.onToken(1, 0, token(0), 0);
+                            answer.onJournalAck(1, false);
+                            answer.onJournalMoved();
+                            answer.onDetach(1);
+                            answer.onAttach(0);
+                            answer.onJournalAck(1, false);
+                        },
+                        "start 1 FIRST",
+                        "append 0",
+                        "deliver 0+1",
+                        "deliver 0+1"),
                 script(
                         "the end is given after its acknowledgement",
                         1,
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/request/SimulatedCaller.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/request/SimulatedCaller.java
@@ -363,6 +363,9 @@
                                 each -> each.onAttemptFailed(attempt, AttemptFailure.REFUSED, network.nowMillis())));
             } else {
                 cancellations.put(attempt, cancellation);
+                network.after(
+                        network.latency(),
+                        () -> deliverEvent(each -> each.onAttemptSent(attempt, network.nowMillis())));
             }
         }
 
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/CallerStream.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/CallerStream.java
@@ -19,6 +19,9 @@
      */
     void tokens(int offset, List<Token> tokens, ResumePosition next);
 
+    /** Sends something that callers ignore, so that a lost connection is noticed while there are no tokens. */
+    void keepAlive();
+
     /** Ends the response normally. */
     void finish(int tokenCount, FinishReason reason);
 
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalPeers.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/JournalPeers.java
@@ -7,8 +7,10 @@
 
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.Snapshot;
 import io.laburnummoor.core.connection.Upstream;
 import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.process.JournalPlacement;
 import io.laburnummoor.core.process.RendezvousHash;
 import io.laburnummoor.core.process.RoutingTable;
 import io.laburnummoor.core.request.JournalAgent;
@@ -19,15 +21,21 @@
 /** Chooses the agents that keep journals and holds the connections to them. */
 public final class JournalPeers implements JournalAgents, Service {
     private static final int READ_CANDIDATES = 4;
+    /** The subset of 10,000 agents is too costly to compute for each request, and changes only with membership. */
+    private static final long SUBSET_REFRESH_MILLIS = 500;
 
     private final RoutingTable routing;
     private final String routerName;
     private final String failureDomain;
+    private final int agentsPerDomain;
     private final Clock clock;
+    private final Snapshot<Subset> subset = new Snapshot<>(new Subset(List.of(), Long.MIN_VALUE));
     private final ConcurrentHashMap<Upstream, JournalPeer> peers = new ConcurrentHashMap<>();
 
     /** Creates the connections of a router in a failure domain. */
-    public JournalPeers(RoutingTable routing, String routerName, String failureDomain, Clock clock) {
+    public JournalPeers(
+            RoutingTable routing, String routerName, String failureDomain, int agentsPerDomain, Clock clock) {
+        this.agentsPerDomain = agentsPerDomain;
         this.routing = routing;
         this.routerName = routerName;
         this.failureDomain = failureDomain;
@@ -83,12 +91,30 @@
 
     private List<UpstreamState> ranked(RequestId id) {
         long nowMillis = clock.nowMillis();
-        List<UpstreamState> alive = routing.snapshot().all().stream()
+        Subset current = subset.get();
+        if (nowMillis >= current.refreshAtMillis()) {
+            current = refresh(nowMillis);
+        }
+        List<UpstreamState> alive = current.agents().stream()
                 .filter(each -> each.isAgentAlive(nowMillis))
                 .toList();
         return RendezvousHash.rank(id.toString(), alive, each -> each.upstream().id());
     }
 
+    private Subset refresh(long nowMillis) {
+        List<UpstreamState> alive = routing.snapshot().all().stream()
+                .filter(each -> each.isAgentAlive(nowMillis))
+                .toList();
+        Subset next = new Subset(
+                JournalPlacement.subset(alive, agentsPerDomain),
+                // An empty subset is computed again at once: at the start no agent has answered yet.
+                alive.isEmpty() ? nowMillis : nowMillis + SUBSET_REFRESH_MILLIS);
+        subset.replace(next);
+        return next;
+    }
+
+    private record Subset(List<UpstreamState> agents, long refreshAtMillis) {}
+
     private JournalPeer peer(Upstream agent) {
         return peers.computeIfAbsent(agent, added -> {
             JournalPeer peer = new JournalPeer(added, routerName, failureDomain);
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/Problem.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/Problem.java
@@ -34,6 +34,10 @@
         if (isRetryable(code)) {
             builder.header("Retry-After", RETRY_AFTER_SECONDS);
         }
+        if (code == ErrorCode.BODY_TOO_LARGE) {
+            // The rest of the body is not read, so the connection cannot carry another request.
+            builder.header("Connection", "close");
+        }
         return builder.build();
     }
 
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/SseCallerStream.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/SseCallerStream.java
@@ -52,6 +52,12 @@
         submit(() -> writeTokens(offset, tokens, next));
     }
 
+    @Override
+    public void keepAlive() {
+        submit(() ->
+                output.write(new OutboundEvent.Builder().comment("keep-alive").build()));
+    }
+
     @Override
     public void finish(int tokenCount, FinishReason reason) {
         ObjectNode data = JsonNodeFactory.instance
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/WholeCallerStream.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/WholeCallerStream.java
@@ -34,6 +34,10 @@
         tokens.addAll(added);
     }
 
+    /** A response that is not streamed sends nothing before its end. */
+    @Override
+    public void keepAlive() {}
+
     @Override
     public void finish(int tokenCount, FinishReason reason) {
         ObjectNode body = JsonNodeFactory.instance.objectNode();
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMetrics.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterMetrics.java
@@ -6,6 +6,7 @@
 import io.laburnummoor.core.request.AttemptFailure;
 import io.laburnummoor.core.request.AttemptReason;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 /** Counters of a router. */
@@ -18,11 +19,31 @@
     private final Counter answersTakenOver = counter("answers_taken_over", "Answers continued from a journal.");
     private final Counter tokensDelivered = counter("tokens_delivered", "Tokens delivered to callers.");
 
+    private final Gauge generationsRunning = Gauge.builder()
+            .name("laburnummoor_generations_running")
+            .help("Generations that run on this router.")
+            .register(registry);
+
     /** Returns the registry with all metrics of this router. */
     public PrometheusRegistry registry() {
         return registry;
     }
 
+    /** Counts a generation that starts to run. */
+    public void generationStarted() {
+        generationsRunning.inc();
+    }
+
+    /** Counts a generation that no longer runs. */
+    public void generationEnded() {
+        generationsRunning.dec();
+    }
+
+    /** Returns the number of running generations. */
+    public int runningGenerations() {
+        return (int) generationsRunning.get();
+    }
+
     /** Counts the start of an attempt. */
     public void attemptStarted(AttemptReason reason) {
         attemptsStarted.labelValues(label(reason)).inc();
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -14,6 +14,7 @@
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.ConfigHolder;
 import io.laburnummoor.core.process.KeyValueStore;
+import io.laburnummoor.core.process.RetryBudget;
 import io.laburnummoor.core.process.RouterPeers;
 import io.laburnummoor.core.process.RoutingTable;
 import io.laburnummoor.core.process.UpstreamSelector;
@@ -33,6 +34,10 @@
     private static final int PLATFORM_TIMEOUT_MILLIS = 2_000;
     private static final int PEER_WORKER_THREADS = 4;
     private static final int WRITER_THREADS = 32;
+    /** Resumptions that may always prefill at the same time, so that a small deployment resumes at once. */
+    private static final int MIN_RESUMPTIONS = 16;
+    /** Above that, a fifth of the running generations: the loss of one failure domain in three resumes in two turns. */
+    private static final int RESUMPTION_DIVISOR = 5;
 
     private final RouterSettings settings;
 
@@ -62,7 +67,8 @@
     @Provides
     @Singleton
     JournalPeers journalPeers(RoutingTable routing, Clock clock) {
-        return new JournalPeers(routing, settings.name(), settings.failureDomain(), clock);
+        return new JournalPeers(
+                routing, settings.name(), settings.failureDomain(), settings.journalAgentsPerDomain(), clock);
     }
 
     @Provides
@@ -84,6 +90,7 @@
                 engines,
                 journals,
                 version -> paces.computeIfAbsent(version, added -> new TokenPace()),
+                new RetryBudget(() -> Math.max(MIN_RESUMPTIONS, metrics.runningGenerations() / RESUMPTION_DIVISOR)),
                 metrics);
         return new GenerationRegistry(context, settings.drainMillis());
     }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterSettings.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterSettings.java
@@ -19,6 +19,7 @@
  * @param maxBodyBytes greatest size of a request body
  * @param drainMillis time that a stopping router gives to running requests
  * @param logLevel lowest level that is logged
+ * @param journalAgentsPerDomain number of agents in each failure domain that keep journals; the same on all routers
  */
 public record RouterSettings(
         String name,
@@ -31,7 +32,13 @@
         URI vmListAddress,
         int maxBodyBytes,
         long drainMillis,
-        String logLevel) {
+        String logLevel,
+        int journalAgentsPerDomain) {
+
+    /** Default of {@code journal_agents_per_domain}: 18 domains then make 576 connections for a router. */
+    public static final int DEFAULT_JOURNAL_AGENTS_PER_DOMAIN = 32;
+
+    private static final int MAX_JOURNAL_AGENTS = 1_000;
 
     /** Reads and checks a settings file. */
     public static RouterSettings read(Path file) {
@@ -47,7 +54,9 @@
                 address(settings, "vm_list_address"),
                 settings.integerOr("max_body_bytes", 4 << 20, 1_024, 64 << 20),
                 settings.integerOr("drain_millis", 30_000, 0, 3_600_000),
-                settings.textOr("log_level", "INFO"));
+                settings.textOr("log_level", "INFO"),
+                settings.integerOr(
+                        "journal_agents_per_domain", DEFAULT_JOURNAL_AGENTS_PER_DOMAIN, 1, MAX_JOURNAL_AGENTS));
         settings.throwIfFaulty();
         return result;
     }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationContext.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationContext.java
@@ -4,6 +4,7 @@
 
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.process.ConfigHolder;
+import io.laburnummoor.core.process.RetryBudget;
 import io.laburnummoor.core.process.RoutingTable;
 import io.laburnummoor.core.process.UpstreamSelector;
 import io.laburnummoor.core.request.EngineClient;
@@ -22,6 +23,7 @@
  * @param engines runs attempts
  * @param journals connections to the agents that keep journals
  * @param paces expected token times by version
+ * @param resumptions bounds concurrent resumptions
  * @param metrics metrics of this router
  */
 public record GenerationContext(
@@ -33,4 +35,5 @@
         EngineClient engines,
         JournalPeers journals,
         Function<String, TokenPace> paces,
+        RetryBudget resumptions,
         RouterMetrics metrics) {}
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
@@ -1,9 +1,6 @@
 package io.laburnummoor.router.request;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -20,14 +17,12 @@
 import io.laburnummoor.core.request.AttemptFailure;
 import io.laburnummoor.core.request.AttemptReason;
 import io.laburnummoor.core.request.Binding;
-import io.laburnummoor.core.request.EngineRequest;
 import io.laburnummoor.core.request.FinishReason;
 import io.laburnummoor.core.request.FoundAnswer;
 import io.laburnummoor.core.request.GenerationRequest;
 import io.laburnummoor.core.request.JournalAgent;
 import io.laburnummoor.core.request.JournalOpener;
 import io.laburnummoor.core.request.JournalWriter;
-import io.laburnummoor.core.request.Priority;
 import io.laburnummoor.core.request.ResumePosition;
 import io.laburnummoor.core.request.SerialExecutor;
 import io.laburnummoor.core.request.Token;
@@ -46,12 +41,14 @@
 public final class GenerationSession {
     private static final Logger LOGGER = Logger.getLogger(GenerationSession.class);
     private static final int PREFIX_HASH_CHARS = 256;
+    /** Time without a token after which a comment is sent; a lost caller shows after one or two comments. */
+    private static final long KEEP_ALIVE_MILLIS = 2_000;
 
     private final GenerationRequest request;
     private final GenerationContext context;
     private final Runnable endHandler;
     private final SerialExecutor serial = new SerialExecutor(this::onUnexpectedFailure);
-    private final Map<Integer, RunningAttempt> attempts = new HashMap<>();
+    private final AttemptLauncher attempts;
     private final Effects effects = new Effects();
     private final Opened opened = new Opened();
     private final int nonce = ThreadLocalRandom.current().nextInt();
@@ -62,6 +59,7 @@
     private @Nullable CallerStream caller;
     private @Nullable ResumePosition callerPosition;
     private boolean callerOpened;
+    private long keepAliveAtMillis;
     private @Nullable String lostFailureDomain;
     private boolean ended;
 
@@ -74,6 +72,7 @@
         this.request = request;
         this.context = context;
         this.endHandler = endHandler;
+        this.attempts = new AttemptLauncher(request, context, serial, this);
     }
 
     /** Returns the request of this session. */
@@ -89,6 +88,7 @@
      */
     public void start(CallerStream firstCaller, @Nullable ResumePosition resume, boolean keyIsNew) {
         serial.execute(() -> {
+            context.metrics().generationStarted();
             caller = firstCaller;
             callerPosition = resume;
             if (keyIsNew) {
@@ -137,7 +137,9 @@
     public void onTick() {
         serial.execute(() -> {
             if (answer != null && !ended) {
-                answer.onTick(context.clock().nowMillis());
+                long nowMillis = context.clock().nowMillis();
+                answer.onTick(nowMillis);
+                keepCallerAlive(answer, nowMillis);
             }
             if (journal != null && !ended) {
                 journal.onTick(context.clock().nowMillis());
@@ -145,6 +147,30 @@
         });
     }
 
+    void onAttemptSent(int attempt) {
+        serial.execute(() -> {
+            if (answer != null) {
+                answer.onAttemptSent(attempt, context.clock().nowMillis());
+            }
+        });
+    }
+
+    void onNoUpstream(int attempt, Binding bound) {
+        boolean versionKnown =
+                UpstreamSelector.isVersionKnown(context.routing().snapshot(), bound.service(), bound.version());
+        serial.execute(() -> {
+            if (answer == null) {
+                return;
+            }
+            if (versionKnown) {
+                answer.onAttemptFailed(
+                        attempt, AttemptFailure.REFUSED, context.clock().nowMillis());
+            } else {
+                onVersionGone(answer, bound);
+            }
+        });
+    }
+
     void onToken(RunningAttempt attempt, int offset, Token token) {
         serial.execute(() -> {
             if (answer != null) {
@@ -167,6 +193,7 @@
             if (answer == null || attempt.isCancelled()) {
                 return;
             }
+            attempts.forget(attempt.number());
             attempt.upstream().recordFailure(context.clock().nowMillis());
             lostFailureDomain = attempt.upstream().upstream().failureDomain();
             context.metrics().attemptLost(failure);
@@ -181,10 +208,40 @@
         });
     }
 
+    /** Starts from scratch on another version if no caller holds tokens, otherwise ends the answer. */
+    private void onVersionGone(Answer running, Binding gone) {
+        JournalWriter writer = journal;
+        if (writer != null && !running.hasDelivered() && !running.isEnded()) {
+            try {
+                Binding next = chooseBinding();
+                if (!next.version().equals(gone.version())) {
+                    LOGGER.infof("request %s starts again on version %s", request.id(), next.version());
+                    binding = next;
+                    running.restart(context.clock().nowMillis());
+                    writer.restart(next);
+                    return;
+                }
+            } catch (LaburnummoorException noOtherVersion) {
+                LOGGER.debugf("no other version for request %s", request.id());
+            }
+        }
+        running.onFailure(ErrorCode.VERSION_GONE, "no upstream of version " + gone.version() + " is left");
+    }
+
+    /** A write to a caller that went away fails; without tokens nothing else would show it. */
+    private void keepCallerAlive(Answer running, long nowMillis) {
+        CallerStream attached = caller;
+        if (attached != null && callerOpened && running.isAttached() && nowMillis >= keepAliveAtMillis) {
+            keepAliveAtMillis = nowMillis + KEEP_ALIVE_MILLIS;
+            attached.keepAlive();
+        }
+    }
+
     private void openCaller() {
         CallerStream attached = caller;
         if (attached != null && !callerOpened) {
             callerOpened = true;
+            keepAliveAtMillis = context.clock().nowMillis() + KEEP_ALIVE_MILLIS;
             attached.open(request.id().key());
         }
     }
@@ -246,7 +303,8 @@
         end();
     }
 
-    private @Nullable UpstreamState select(@Nullable String version, Set<String> excludedIds) {
+    @Nullable
+    UpstreamState select(@Nullable String version, Set<String> excludedIds) {
         RoutingSnapshot snapshot = context.routing().snapshot();
         String prompt = request.prompt();
         String start = prompt.substring(0, Math.min(PREFIX_HASH_CHARS, prompt.length()));
@@ -278,6 +336,8 @@
 
     private void end() {
         ended = true;
+        attempts.stop();
+        context.metrics().generationEnded();
         if (journal != null) {
             journal.stop();
         }
@@ -299,37 +359,14 @@
         @Override
         public void startAttempt(int attempt, List<Token> accepted, AttemptReason reason) {
             Binding bound = binding;
-            if (bound == null) {
-                return;
+            if (bound != null) {
+                attempts.start(attempt, bound, accepted, reason);
             }
-            Set<String> busyIds = new HashSet<>();
-            attempts.values().stream()
-                    .filter(each -> !each.isCancelled())
-                    .forEach(each -> busyIds.add(each.upstream().upstream().id()));
-            if (reason == AttemptReason.HEDGE) {
-                attempts.values().forEach(each -> each.upstream()
-                        .recordSuspicion(context.clock().nowMillis()));
-            } else {
-                busyIds.clear();
-            }
-            UpstreamState chosen = select(bound.version(), busyIds);
-            context.metrics().attemptStarted(reason);
-            if (chosen == null) {
-                onNoUpstream(attempt, bound);
-                return;
-            }
-            TokenPace pace = context.paces().apply(bound.service() + "/" + bound.version());
-            RunningAttempt started = new RunningAttempt(attempt, chosen, pace, GenerationSession.this);
-            attempts.put(attempt, started);
-            started.attach(context.engines().start(chosen.upstream(), engineRequest(bound, accepted, reason), started));
         }
 
         @Override
         public void cancelAttempt(int attempt) {
-            RunningAttempt running = attempts.remove(attempt);
-            if (running != null) {
-                running.cancel();
-            }
+            attempts.cancel(attempt);
         }
 
         @Override
@@ -351,6 +388,7 @@
             CallerStream attached = caller;
             if (attached != null && journal != null) {
                 openCaller();
+                keepAliveAtMillis = context.clock().nowMillis() + KEEP_ALIVE_MILLIS;
                 attached.tokens(offset, tokens, journal.position(offset + tokens.size()));
                 context.metrics().tokensDelivered(tokens.size());
             }
@@ -370,33 +408,6 @@
         public void fail(ErrorCode code, String detail) {
             GenerationSession.this.fail(code, detail);
         }
-
-        private void onNoUpstream(int attempt, Binding bound) {
-            boolean versionKnown =
-                    UpstreamSelector.isVersionKnown(context.routing().snapshot(), bound.service(), bound.version());
-            serial.execute(() -> {
-                if (answer == null) {
-                    return;
-                }
-                if (versionKnown) {
-                    answer.onAttemptFailed(
-                            attempt, AttemptFailure.REFUSED, context.clock().nowMillis());
-                } else {
-                    answer.onFailure(ErrorCode.VERSION_GONE, "no upstream of version " + bound.version() + " is left");
-                }
-            });
-        }
-
-        private EngineRequest engineRequest(Binding bound, List<Token> accepted, AttemptReason reason) {
-            Priority priority = reason == AttemptReason.FIRST ? request.priority() : Priority.RESUMED;
-            return new EngineRequest(
-                    bound,
-                    request.prompt(),
-                    accepted.stream().map(Token::id).toList(),
-                    request.maxTokens(),
-                    request.temperature(),
-                    priority);
-        }
     }
 
     /** Goes on as the state of the journal demands. */
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.process.RetryBudget;
 import io.laburnummoor.core.request.AttemptFailure;
 import io.laburnummoor.core.request.EngineStream;
 import io.laburnummoor.core.request.EngineStreamListener;
@@ -21,6 +22,7 @@
     private final GenerationSession session;
     private final AtomicBoolean counted = new AtomicBoolean(true);
     private volatile @Nullable EngineStream stream;
+    private volatile RetryBudget.@Nullable Permit permit;
     private volatile boolean cancelled;
     private long lastEventNanos = System.nanoTime();
     private boolean firstTokenSeen;
@@ -75,6 +77,7 @@
             pace.recordGapMicros(elapsedMicros);
         } else {
             firstTokenSeen = true;
+            releasePermit();
             pace.recordFirstTokenMicros(elapsedMicros);
         }
         session.onToken(this, offset, token);
@@ -92,7 +95,23 @@
         session.onAttemptFailed(this, failure, detail);
     }
 
+    /** Sets the permit of a resumption, which is given back at the first token or at the end. */
+    void holdPermit(RetryBudget.Permit held) {
+        permit = held;
+        if (cancelled) {
+            held.release();
+        }
+    }
+
+    private void releasePermit() {
+        RetryBudget.Permit held = permit;
+        if (held != null) {
+            held.release();
+        }
+    }
+
     private void release() {
+        releasePermit();
         if (counted.compareAndSet(true, false)) {
             upstream.requestEnded();
         }
