--- a/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentModule.java
+++ b/laburnummoor-agent/src/main/java/io/laburnummoor/agent/process/AgentModule.java
@@ -47,7 +47,7 @@
     @Provides
     @Singleton
     List<Service> services(AnswerJournal journal, UpstreamProbe probe) {
-        AgentHandler handler = new AgentHandler(settings.agentId(), probe, journal, Clock.monotonic());
+        AgentHandler handler = new AgentHandler(settings.agentId(), probe, journal);
         Map<String, TProcessor> processors = new LinkedHashMap<>();
         processors.put("agent", new AgentService.Processor<>(handler));
         if (!settings.keyValueAddress().isEmpty()) {
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -8,6 +8,8 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 
@@ -69,6 +71,7 @@
     private static final long JOURNAL_RETENTION_MILLIS = 600_000;
 
     private final long drainMillis;
+    private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
     private final PlatformStandIn platform = new PlatformStandIn(HOST, 0);
     private final List<EngineNode> engines = new ArrayList<>();
     private final List<RouterNode> routers = new ArrayList<>();
@@ -153,6 +156,25 @@
         return routers;
     }
 
+    /** Returns settings of a further router, for one that runs in a process of its own. */
+    public RouterSettings newRouterSettings(String name, String domain) {
+        return new RouterSettings(
+                name,
+                domain,
+                HOST,
+                freePort(),
+                freePort(),
+                freePort(),
+                platformAddress(""),
+                platformAddress("/vms"),
+                MAX_BODY_BYTES,
+                drainMillis,
+                ROLLOUT_MIN_STEP_MILLIS,
+                "",
+                "WARN",
+                RouterSettings.DEFAULT_JOURNAL_AGENTS_PER_DOMAIN);
+    }
+
     /** Returns a client of the key-value service. */
     public KeyValueStore keyValueStore() {
         return new EtcdKeyValueStore(new JsonHttp(PLATFORM_TIMEOUT_MILLIS), platformAddress(""));
@@ -178,20 +200,7 @@
     }
 
     private void addRouter(String name, String domain) {
-        routers.add(new RouterNode(new RouterSettings(
-                name,
-                domain,
-                HOST,
-                freePort(),
-                freePort(),
-                freePort(),
-                platformAddress(""),
-                platformAddress("/vms"),
-                MAX_BODY_BYTES,
-                drainMillis,
-                ROLLOUT_MIN_STEP_MILLIS,
-                "",
-                "WARN")));
+        routers.add(new RouterNode(newRouterSettings(name, domain)));
     }
 
     private void applyConfig() {
@@ -225,7 +234,9 @@
         for (int i = 0; i < PORT_TRIES; i++) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
-                return socket.getLocalPort();
+                if (USED_PORTS.add(port)) {
+                    return port;
+                }
             } catch (BindException taken) {
                 // Another process has this port; the next one is tried.
             } catch (IOException cause) {
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -27,6 +27,7 @@
             Map.entry("rollout-bad", new RolloutScenario(false)),
             Map.entry("rollout-good", new RolloutScenario(true)),
             Map.entry("rollout-live", new RolloutLiveScenario()),
+            Map.entry("router-death", new RouterDeathScenario()),
             Map.entry("stale-order", new StaleOrderScenario())));
 
     @Parameter(description = "name of the scenario", required = true)
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/Problem.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/connection/Problem.java
@@ -40,6 +40,10 @@
         if (isRetryable(code)) {
             builder.header("Retry-After", (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
         }
+        if (code == ErrorCode.BODY_TOO_LARGE) {
+            // The rest of the body is not read, so the connection cannot carry another request.
+            builder.header("Connection", "close");
+        }
         return builder.build();
     }
 
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterModule.java
@@ -25,6 +25,7 @@
 import io.laburnummoor.core.process.PartitionLeases;
 import io.laburnummoor.core.process.PartitionLog;
 import io.laburnummoor.core.process.Quarantine;
+import io.laburnummoor.core.process.RetryBudget;
 import io.laburnummoor.core.process.RolloutShares;
 import io.laburnummoor.core.process.RouterPeers;
 import io.laburnummoor.core.process.RoutingTable;
@@ -65,6 +66,10 @@
     private static final int PEER_WORKER_THREADS = 32;
 
     private static final int WRITER_THREADS = 32;
+    /** Resumptions that may always prefill at the same time, so that a small deployment resumes at once. */
+    private static final int MIN_RESUMPTIONS = 16;
+    /** Above that, a fifth of the running generations: the loss of one failure domain in three resumes in two turns. */
+    private static final int RESUMPTION_DIVISOR = 5;
 
     private final RouterSettings settings;
 
@@ -97,7 +102,8 @@
     @Provides
     @Singleton
     JournalPeers journalPeers(RoutingTable routing, Clock clock) {
-        return new JournalPeers(routing, settings.name(), settings.failureDomain(), clock);
+        return new JournalPeers(
+                routing, settings.name(), settings.failureDomain(), settings.journalAgentsPerDomain(), clock);
     }
 
     @Provides
@@ -121,6 +127,7 @@
                 journals,
                 version -> paces.computeIfAbsent(version, added -> new TokenPace()),
                 injector.getInstance(Quarantine.class),
+                new RetryBudget(() -> Math.max(MIN_RESUMPTIONS, metrics.runningGenerations() / RESUMPTION_DIVISOR)),
                 metrics,
                 injector.getInstance(RolloutShares.class),
                 injector.getInstance(RolloutObservers.class));
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterSettings.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterSettings.java
@@ -21,6 +21,7 @@
  * @param rolloutMinStepMillis shortest time between two steps of a rollout
  * @param rolloutWebhook address that outcomes of rollouts are sent to, empty for none
  * @param logLevel lowest level that is logged
+ * @param journalAgentsPerDomain number of agents in each failure domain that keep journals; the same on all routers
  */
 public record RouterSettings(
         String name,
@@ -35,7 +36,13 @@
         long drainMillis,
         long rolloutMinStepMillis,
         String rolloutWebhook,
-        String logLevel) {
+        String logLevel,
+        int journalAgentsPerDomain) {
+
+    /** Default of {@code journal_agents_per_domain}: 18 domains then make 576 connections for a router. */
+    public static final int DEFAULT_JOURNAL_AGENTS_PER_DOMAIN = 32;
+
+    private static final int MAX_JOURNAL_AGENTS = 1_000;
 
     /** Reads and checks a settings file. */
     public static RouterSettings read(Path file) {
@@ -53,7 +60,9 @@
                 settings.integerOr("drain_millis", 30_000, 0, 3_600_000),
                 settings.integerOr("rollout_min_step_millis", 30_000, 1_000, 3_600_000),
                 settings.textOr("rollout_webhook", ""),
-                settings.textOr("log_level", "INFO"));
+                settings.textOr("log_level", "INFO"),
+                settings.integerOr(
+                        "journal_agents_per_domain", DEFAULT_JOURNAL_AGENTS_PER_DOMAIN, 1, MAX_JOURNAL_AGENTS));
         settings.throwIfFaulty();
         return result;
     }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationContext.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationContext.java
@@ -5,6 +5,7 @@
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.process.ConfigHolder;
 import io.laburnummoor.core.process.Quarantine;
+import io.laburnummoor.core.process.RetryBudget;
 import io.laburnummoor.core.process.RoutingTable;
 import io.laburnummoor.core.process.UpstreamSelector;
 import io.laburnummoor.core.request.EngineClient;
@@ -26,6 +27,7 @@
  * @param journals connections to the agents that keep journals
  * @param paces expected token times by version
  * @param quarantine finds requests that crash upstreams
+ * @param resumptions bounds concurrent resumptions
  * @param metrics metrics of this router
  * @param versions chooses the version of a new answer
  * @param attempts learns how attempts end
@@ -40,6 +42,7 @@
         JournalPeers journals,
         Function<String, TokenPace> paces,
         Quarantine quarantine,
+        RetryBudget resumptions,
         RouterMetrics metrics,
         VersionChooser versions,
         AttemptRecorder attempts) {}
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/RunningAttempt.java
@@ -4,6 +4,7 @@
 
 import io.laburnummoor.core.connection.UpstreamReport;
 import io.laburnummoor.core.connection.UpstreamState;
+import io.laburnummoor.core.process.RetryBudget;
 import io.laburnummoor.core.request.AttemptFailure;
 import io.laburnummoor.core.request.EngineStream;
 import io.laburnummoor.core.request.EngineStreamListener;
@@ -25,6 +26,7 @@
     private final long incarnation;
     private final AtomicBoolean counted = new AtomicBoolean(true);
     private volatile @Nullable EngineStream stream;
+    private volatile RetryBudget.@Nullable Permit permit;
     private volatile boolean cancelled;
     private long lastEventNanos = System.nanoTime();
     private boolean firstTokenSeen;
@@ -94,6 +96,7 @@
             pace.recordGapMicros(elapsedMicros);
         } else {
             firstTokenSeen = true;
+            releasePermit();
             pace.recordFirstTokenMicros(elapsedMicros);
         }
         session.onToken(this, offset, token);
@@ -113,7 +116,23 @@
         session.onAttemptFailed(this, failure, detail);
     }
 
+    /** Sets the permit of a resumption, which is given back at the first token or at the end. */
+    void holdPermit(RetryBudget.Permit held) {
+        permit = held;
+        if (cancelled) {
+            held.release();
+        }
+    }
+
+    private void releasePermit() {
+        RetryBudget.Permit held = permit;
+        if (held != null) {
+            held.release();
+        }
+    }
+
     private void release() {
+        releasePermit();
         if (counted.compareAndSet(true, false)) {
             upstream.requestEnded();
         }
