--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/AttemptLauncher.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/AttemptLauncher.java
@@ -26,13 +26,19 @@
     private final GenerationRequest request;
     private final GenerationContext context;
     private final SerialExecutor serial;
+    private final UpstreamPlacement placement;
     private final GenerationSession session;
     private final Map<Integer, RunningAttempt> running = new HashMap<>();
     private final Map<Integer, RetryBudget.Permit> waiting = new HashMap<>();
     private boolean stopped;
 
     AttemptLauncher(
-            GenerationRequest request, GenerationContext context, SerialExecutor serial, GenerationSession session) {
+            GenerationRequest request,
+            GenerationContext context,
+            SerialExecutor serial,
+            UpstreamPlacement placement,
+            GenerationSession session) {
+        this.placement = placement;
         this.request = request;
         this.context = context;
         this.serial = serial;
@@ -105,7 +111,7 @@
             serial.execute(session::failQuarantined);
             return;
         }
-        UpstreamState chosen = session.place(bound, busyIds);
+        UpstreamState chosen = placement.place(bound, busyIds);
         if (chosen == null) {
             if (permit != null) {
                 permit.release();
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/request/GenerationSession.java
@@ -1,16 +1,11 @@
 package io.laburnummoor.router.request;
 
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
 import io.laburnummoor.core.ErrorCode;
 import io.laburnummoor.core.LaburnummoorException;
-import io.laburnummoor.core.connection.UpstreamState;
-import io.laburnummoor.core.process.RendezvousHash;
-import io.laburnummoor.core.process.RoutingSnapshot;
-import io.laburnummoor.core.process.SelectionContext;
 import io.laburnummoor.core.process.UpstreamSelector;
 import io.laburnummoor.core.request.Answer;
 import io.laburnummoor.core.request.AnswerEffects;
@@ -26,7 +21,6 @@
 import io.laburnummoor.core.request.ResumePosition;
 import io.laburnummoor.core.request.SerialExecutor;
 import io.laburnummoor.core.request.Token;
-import io.laburnummoor.core.version.ServiceDeclaration;
 import io.laburnummoor.core.version.TokenPace;
 import io.laburnummoor.router.connection.CallerStream;
 import org.jboss.logging.Logger;
@@ -40,7 +34,6 @@
  */
 public final class GenerationSession {
     private static final Logger LOGGER = Logger.getLogger(GenerationSession.class);
-    private static final int PREFIX_HASH_CHARS = 256;
     /** Time without a token after which a comment is sent; a lost caller shows after one or two comments. */
     private static final long KEEP_ALIVE_MILLIS = 2_000;
 
@@ -53,6 +46,7 @@
     private final Opened opened = new Opened();
     private final int nonce = ThreadLocalRandom.current().nextInt();
     private final IsolationGuard guard;
+    private final UpstreamPlacement placement;
 
     private @Nullable Answer answer;
     private @Nullable JournalWriter journal;
@@ -61,7 +55,6 @@
     private @Nullable ResumePosition callerPosition;
     private boolean callerOpened;
     private long keepAliveAtMillis;
-    private @Nullable String lostFailureDomain;
     private boolean ended;
 
     /**
@@ -74,7 +67,8 @@
         this.context = context;
         this.endHandler = endHandler;
         this.guard = new IsolationGuard(request, context.quarantine(), context.routing(), context.clock());
-        this.attempts = new AttemptLauncher(request, context, serial, this);
+        this.placement = new UpstreamPlacement(request, context, guard);
+        this.attempts = new AttemptLauncher(request, context, serial, placement, this);
     }
 
     /** Returns the number of tokens accepted so far. Called by the end handler. */
@@ -214,7 +208,7 @@
             } else {
                 attempt.upstream().recordFailure(context.clock().nowMillis());
             }
-            lostFailureDomain = attempt.upstream().upstream().failureDomain();
+            placement.avoidFailureDomain(attempt.upstream().upstream().failureDomain());
             if (failure == AttemptFailure.CONNECTION_LOST) {
                 guard.recordLoss(attempt);
             }
@@ -236,7 +230,7 @@
         JournalWriter writer = journal;
         if (writer != null && !running.hasDelivered() && !running.isEnded()) {
             try {
-                Binding next = chooseBinding();
+                Binding next = placement.chooseBinding();
                 if (!next.version().equals(gone.version())) {
                     LOGGER.infof("request %s starts again on version %s", request.id(), next.version());
                     binding = next;
@@ -275,25 +269,6 @@
         }
     }
 
-    private Binding chooseBinding() {
-        ServiceDeclaration service = context.config().current().service(request.service());
-        String wanted = service == null ? "" : service.activeVersion();
-        UpstreamState chosen = null;
-        for (String version : context.versions().versionsFor(request.service(), wanted, request.id())) {
-            chosen = chosen == null ? select(version.isEmpty() ? null : version, Set.of()) : chosen;
-        }
-        if (chosen == null || chosen.report() == null) {
-            throw new LaburnummoorException(
-                    ErrorCode.NO_UPSTREAM, "no upstream of service " + request.service() + " can take the request");
-        }
-        Long seed = request.seed();
-        return new Binding(
-                request.service(),
-                chosen.report().version(),
-                request.adapter(),
-                seed == null ? RendezvousHash.hash(request.id().toString()) : seed);
-    }
-
     private void begin(Binding chosen, List<Token> journaled, Consumer<JournalWriter> opening) {
         TokenPace pace = context.paces().apply(chosen.service() + "/" + chosen.version());
         Answer created = new Answer(request.maxTokens(), journaled, pace, effects);
@@ -329,24 +304,6 @@
         end();
     }
 
-    @Nullable
-    UpstreamState select(@Nullable String version, Set<String> excludedIds) {
-        RoutingSnapshot snapshot = context.routing().snapshot();
-        String prompt = request.prompt();
-        String start = prompt.substring(0, Math.min(PREFIX_HASH_CHARS, prompt.length()));
-        return context.selector()
-                .select(
-                        snapshot,
-                        new SelectionContext(
-                                request.service(),
-                                version,
-                                request.adapter(),
-                                RendezvousHash.hash(start),
-                                lostFailureDomain,
-                                excludedIds,
-                                context.clock().nowMillis()));
-    }
-
     private void fail(ErrorCode code, String detail) {
         if (ended) {
             return;
@@ -360,12 +317,6 @@
         end();
     }
 
-    /** Returns the upstream for the next attempt, or null if none can take it now. */
-    @Nullable
-    UpstreamState place(Binding bound, Set<String> excludedIds) {
-        return guard.isNeeded() ? guard.place(bound) : select(bound.version(), excludedIds);
-    }
-
     /** Returns whether this request is blocked because it crashes upstreams. */
     boolean isQuarantined() {
         return guard.isBlocked();
@@ -460,7 +411,7 @@
         @Override
         public void onFresh() {
             try {
-                begin(chooseBinding(), List.of(), JournalWriter::openNew);
+                begin(placement.chooseBinding(), List.of(), JournalWriter::openNew);
             } catch (LaburnummoorException refused) {
                 onRefused(refused.errorCode(), String.valueOf(refused.getMessage()));
             }
