--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/CompletionsResource.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/CompletionsResource.java
@@ -1,6 +1,5 @@
 package io.laburnummoor.router.process;
 
-import java.io.IOException;
 import java.io.InputStream;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
@@ -60,7 +59,7 @@
             @HeaderParam("X-Caller-Id") @Nullable String callerId,
             InputStream bodyStream) {
         OrganisationDeclaration organisation = authenticator.authenticate(authorization);
-        CompletionBody body = CompletionBody.parse(readBody(bodyStream));
+        CompletionBody body = CompletionBody.parse(RequestBody.read(() -> bodyStream, maxBodyBytes));
         authenticator.requireService(body.service(), ServiceDeclaration.Kind.ENGINE);
         ResumePosition resume = lastEventId == null ? null : parsePosition(lastEventId);
         String key = checkedKey(idempotencyKey);
@@ -84,19 +83,6 @@
         }
     }
 
-    private byte[] readBody(InputStream stream) {
-        try {
-            byte[] bytes = stream.readNBytes(maxBodyBytes + 1);
-            if (bytes.length > maxBodyBytes) {
-                throw new LaburnummoorException(
-                        ErrorCode.BODY_TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes");
-            }
-            return bytes;
-        } catch (IOException cause) {
-            throw new LaburnummoorException(ErrorCode.BAD_REQUEST, "the body could not be read", cause);
-        }
-    }
-
     private static ResumePosition parsePosition(String lastEventId) {
         ResumePosition position = ResumePosition.parse(lastEventId);
         if (position == null) {
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ServicesResource.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/ServicesResource.java
@@ -1,6 +1,5 @@
 package io.laburnummoor.router.process;
 
-import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -121,7 +120,7 @@
             throw badRequest("the path must not hold dot segments, empty segments, parameters or encoded slashes");
         }
         ServiceDeclaration service = authenticator.requireService(name, ServiceDeclaration.Kind.PLAIN);
-        byte[] body = readBody(request);
+        byte[] body = RequestBody.read(request::getInputStream, maxBodyBytes);
         boolean idempotent = RouteClassifier.isIdempotent(service, request.getMethod(), path);
         String key = idempotent ? "" : checkedKey(request.getHeader("Idempotency-Key"));
         String query = request.getQueryString();
@@ -165,19 +164,6 @@
         return headers;
     }
 
-    private byte[] readBody(HttpServletRequest request) {
-        try {
-            byte[] bytes = request.getInputStream().readNBytes(maxBodyBytes + 1);
-            if (bytes.length > maxBodyBytes) {
-                throw new LaburnummoorException(
-                        ErrorCode.BODY_TOO_LARGE, "the body is larger than " + maxBodyBytes + " bytes");
-            }
-            return bytes;
-        } catch (IOException cause) {
-            throw new LaburnummoorException(ErrorCode.BAD_REQUEST, "the body could not be read", cause);
-        }
-    }
-
     private static long timeoutMillis(@Nullable String text) {
         if (text == null) {
             return DEFAULT_TIMEOUT_MILLIS;
