Add the decisions for forwarded requests

Cause: the platform's requests are opaque and carry their own rules; the project had decisions for its own generations only. Conclusion: no I/O in these classes; the gateway only executes them.

--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ConfigFreshness.java
@@ -0,0 +1,52 @@
+package io.laburnummoor.core.process;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.Snapshot;
+
+/**
+ * Tells whether the configuration is recent enough that the withdrawal of a key would be known. Ages are taken from the
+ * monotonic and the wall clock, whichever is larger, because the monotonic clock stands still while a VM is suspended.
+ */
+public final class ConfigFreshness {
+    /** The store's watch may miss changes for about a second before it reports that history was dropped. */
+    private static final long WATCH_BLIND_MILLIS = 1_500;
+    /** Time between this check and the arrival of the request at the upstream. */
+    private static final long FORWARDING_MILLIS = 300;
+
+    private final Clock monotonic;
+    private final Clock wall;
+    private final Snapshot<Proof> proof = new Snapshot<>(new Proof(0, 0, false));
+
+    /** Creates a state without any proof. */
+    public ConfigFreshness(Clock monotonic, Clock wall) {
+        this.monotonic = monotonic;
+        this.wall = wall;
+    }
+
+    /** Returns the time to be handed to {@link #confirm} if a call that starts now succeeds. */
+    public Proof beginCall() {
+        return new Proof(monotonic.nowMillis(), wall.nowMillis(), true);
+    }
+
+    /** Records that a read of the store which began at the given time has succeeded. */
+    public void confirm(Proof begun) {
+        proof.replace(begun);
+    }
+
+    /** Returns how old the last proof is, at least. */
+    public long ageMillis() {
+        Proof last = proof.get();
+        if (!last.valid) {
+            return Long.MAX_VALUE;
+        }
+        return Math.max(monotonic.nowMillis() - last.monotonicMillis, wall.nowMillis() - last.wallMillis);
+    }
+
+    /** Returns whether a key that was withdrawn longer ago than the bound would be known by now. */
+    public boolean isWithin(long revocationMillis) {
+        return ageMillis() <= revocationMillis - WATCH_BLIND_MILLIS - FORWARDING_MILLIS;
+    }
+
+    /** The time at which a call began, on both clocks. */
+    public record Proof(long monotonicMillis, long wallMillis, boolean valid) {}
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceChoice.java
@@ -0,0 +1,94 @@
+package io.laburnummoor.core.process;
+
+import java.util.List;
+import java.util.Set;
+
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.version.ForwardService;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses the upstream for an attempt and the upstream that keeps the backup copy of a run. */
+public final class InstanceChoice {
+    /** Prompt tokens that weigh as much as one running request: reading them delays all runs of the engine. */
+    private static final double PROMPT_TOKENS_PER_REQUEST = 2_000;
+
+    private static final double SUSPECT_DOMAIN_PENALTY = 100;
+    private static final double EJECTED_PENALTY = 1_000;
+    private static final double FULL_PENALTY = 50;
+    private static final double FAILURE_SHARE_PENALTY = 20;
+    /** Below one request, so that it decides only between upstreams of equal load. */
+    private static final double FOREIGN_DOMAIN_PENALTY = 0.2;
+    /** Spreads the choices of routers that do not see each other's requests over different upstreams. */
+    private static final double OWNERSHIP_SPREAD = 0.9;
+
+    private final String routerName;
+    private final String failureDomain;
+    private final DomainLosses losses;
+
+    /** Creates a choice for one router. */
+    public InstanceChoice(String routerName, String failureDomain, DomainLosses losses) {
+        this.routerName = routerName;
+        this.failureDomain = failureDomain;
+        this.losses = losses;
+    }
+
+    /**
+     * Returns the best upstream of a service, or null if none may take work.
+     *
+     * @param excludedIds upstreams that must not be used
+     */
+    public @Nullable InstanceState choose(
+            InstanceTable table, ForwardService service, Set<String> excludedIds, long nowMillis) {
+        InstanceState best = null;
+        double bestScore = EJECTED_PENALTY;
+        for (InstanceState each : table.ofService(service.name())) {
+            if (!each.isListed(nowMillis)
+                    || excludedIds.contains(each.instance().id())) {
+                continue;
+            }
+            double score = score(each, service, nowMillis);
+            if (score < bestScore) {
+                best = each;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    /** Returns the upstream that keeps the copy of a run, in another failure domain, or null if there is none. */
+    public @Nullable InstanceState chooseBackup(
+            InstanceTable table, ForwardService service, UpstreamInstance primary, long tokens, long nowMillis) {
+        InstanceState best = null;
+        double bestScore = EJECTED_PENALTY;
+        List<InstanceState> candidates = table.ofService(service.name());
+        for (InstanceState each : candidates) {
+            UpstreamInstance instance = each.instance();
+            boolean hasRoom = service.cacheTokens() == 0 || each.heldTokens() + tokens <= service.cacheTokens();
+            if (!each.isListed(nowMillis) || instance.failureDomain().equals(primary.failureDomain()) || !hasRoom) {
+                continue;
+            }
+            double score = score(each, service, nowMillis) + each.heldTokens() / PROMPT_TOKENS_PER_REQUEST / 4;
+            if (score < bestScore) {
+                best = each;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private double score(InstanceState each, ForwardService service, long nowMillis) {
+        UpstreamInstance instance = each.instance();
+        double score = each.estimatedLoad(nowMillis);
+        if (service.generates()) {
+            score += each.promptTokens() / PROMPT_TOKENS_PER_REQUEST;
+        }
+        score += each.failureShare() * FAILURE_SHARE_PENALTY;
+        score += each.isEjected(nowMillis) ? EJECTED_PENALTY : 0;
+        score += each.isFull(nowMillis) ? FULL_PENALTY : 0;
+        score += losses.isSuspect(service.name(), instance.failureDomain(), nowMillis) ? SUSPECT_DOMAIN_PENALTY : 0;
+        score += instance.failureDomain().equals(failureDomain) ? 0 : FOREIGN_DOMAIN_PENALTY;
+        long rank = RendezvousHash.weight(RendezvousHash.hash(routerName), instance.id());
+        return score + OWNERSHIP_SPREAD * RendezvousHash.toUnitInterval(rank);
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/WindowedRetryBudget.java
@@ -0,0 +1,77 @@
+package io.laburnummoor.core.process;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
+
+/**
+ * This router's part of the retry budget that all routers share. Each router bounds its repeats by its own requests, so
+ * the sum over all routers keeps the bound without any message; only the fixed allowance is divided by the number of
+ * routers.
+ */
+public final class WindowedRetryBudget {
+    /** Part of the shared bound that is used, which leaves room for requests that end between two windows. */
+    private static final double USED_SHARE = 0.85;
+
+    private final Bound bound;
+    private final IntSupplier routerCount;
+    private final Map<String, Window> byService = new ConcurrentHashMap<>();
+
+    /** Creates a budget. */
+    public WindowedRetryBudget(Bound bound, IntSupplier routerCount) {
+        this.bound = bound;
+        this.routerCount = routerCount;
+    }
+
+    /** Counts the first attempt of a request. */
+    public void recordRequest(String service, long nowMillis) {
+        windowOf(service).addRequest(nowMillis, bound.windowMillis());
+    }
+
+    /** Takes one repeat; returns false if the budget is used up. */
+    public boolean tryRepeat(String service, long nowMillis) {
+        double fixed = (double) bound.extraRepeats() / Math.max(1, routerCount.getAsInt());
+        return windowOf(service).tryRepeat(nowMillis, bound.windowMillis(), USED_SHARE * fixed, bound.ratio());
+    }
+
+    private Window windowOf(String service) {
+        return byService.computeIfAbsent(service, name -> new Window());
+    }
+
+    /**
+     * The bound over all routers.
+     *
+     * @param ratio repeats for each request
+     * @param extraRepeats repeats that are allowed besides
+     * @param windowMillis length of the sliding window
+     */
+    public record Bound(double ratio, int extraRepeats, long windowMillis) {}
+
+    private static final class Window {
+        private final Deque<Long> requests = new ArrayDeque<>();
+        private final Deque<Long> repeats = new ArrayDeque<>();
+
+        synchronized void addRequest(long nowMillis, long windowMillis) {
+            requests.addLast(nowMillis);
+            dropOld(requests, nowMillis - windowMillis);
+        }
+
+        synchronized boolean tryRepeat(long nowMillis, long windowMillis, double fixed, double ratio) {
+            dropOld(requests, nowMillis - windowMillis);
+            dropOld(repeats, nowMillis - windowMillis);
+            if (repeats.size() + 1 > USED_SHARE * ratio * requests.size() + fixed) {
+                return false;
+            }
+            repeats.addLast(nowMillis);
+            return true;
+        }
+
+        private static void dropOld(Deque<Long> times, long oldestMillis) {
+            while (!times.isEmpty() && times.peekFirst() < oldestMillis) {
+                times.pollFirst();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/RequestGate.java
@@ -0,0 +1,62 @@
+package io.laburnummoor.core.request;
+
+import io.laburnummoor.core.version.ForwardConfig;
+import io.laburnummoor.core.version.ForwardRoute;
+import org.jspecify.annotations.Nullable;
+
+/** Decides whether a request may be forwarded at all, from the configuration in force and its age. */
+public final class RequestGate {
+    private RequestGate() {}
+
+    /**
+     * Decides on a request.
+     *
+     * @param config configuration in force, or null if none has been read in this life of the process
+     * @param configIsFresh whether the withdrawal of a key would be known
+     * @param key key that the caller sent, or null
+     */
+    public static Verdict decide(
+            @Nullable ForwardConfig config, boolean configIsFresh, String host, String path, @Nullable String key) {
+        if (config == null) {
+            return Verdict.refuse(Refusal.NO_CONFIGURATION);
+        }
+        ForwardRoute route = config.findRoute(host, path);
+        if (route == null) {
+            return Verdict.refuse(configIsFresh ? Refusal.UNKNOWN_ROUTE : Refusal.STALE_CONFIGURATION);
+        }
+        if (route.anonymous() || !config.keysRequired()) {
+            String organisation = key == null ? null : config.organisationOf(key);
+            return new Verdict(null, route, configIsFresh ? organisation : null);
+        }
+        if (!configIsFresh) {
+            return Verdict.refuse(Refusal.STALE_CONFIGURATION);
+        }
+        String organisation = key == null ? null : config.organisationOf(key);
+        return organisation == null ? Verdict.refuse(Refusal.UNKNOWN_KEY) : new Verdict(null, route, organisation);
+    }
+
+    /** Why a request is not forwarded. */
+    public enum Refusal {
+        /** No configuration is known yet. */
+        NO_CONFIGURATION,
+        /** The configuration is too old to tell whether the key or route is still valid. */
+        STALE_CONFIGURATION,
+        /** No route matches host and path. */
+        UNKNOWN_ROUTE,
+        /** No organisation holds the key. */
+        UNKNOWN_KEY
+    }
+
+    /**
+     * The decision on a request; either a refusal or a route.
+     *
+     * @param refusal why the request is not forwarded, or null
+     * @param route route of the request, or null
+     * @param organisation organisation of the caller, or null if the route needs none
+     */
+    public record Verdict(@Nullable Refusal refusal, @Nullable ForwardRoute route, @Nullable String organisation) {
+        static Verdict refuse(Refusal refusal) {
+            return new Verdict(refusal, null, null);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/ResumableRule.java
@@ -0,0 +1,18 @@
+package io.laburnummoor.core.request;
+
+final class ResumableRule implements RepeatRule {
+    @Override
+    public boolean repeatsAfterRun() {
+        return true;
+    }
+
+    @Override
+    public boolean repeatsAfterUpstreamFailure() {
+        return true;
+    }
+
+    @Override
+    public boolean continuesStream() {
+        return true;
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardService.java
@@ -0,0 +1,14 @@
+package io.laburnummoor.core.version;
+
+/**
+ * What the configuration says of one service.
+ *
+ * @param name name of the service
+ * @param connectionLimit connections that one upstream accepts from all routers
+ * @param generates whether its upstreams are model engines
+ * @param slots requests that one model engine runs at once; 0 if unknown
+ * @param cacheTokens tokens that a model engine's memory holds; 0 if unknown
+ * @param keepsBackups whether its upstreams copy a run's memory to another upstream
+ */
+public record ForwardService(
+        String name, int connectionLimit, boolean generates, int slots, long cacheTokens, boolean keepsBackups) {}
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/InstanceStateTest.java
@@ -0,0 +1,51 @@
+package io.laburnummoor.core.connection;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** Guards against upstreams that stay ejected for too long, return too early, or whose load is told by old reports. */
+final class InstanceStateTest {
+    private final InstanceState state = new InstanceState(
+            new UpstreamInstance("i-1", "drafter", "sapporo", "10.0.0.1", 80, "v1", 24, false, 0, 1, 1));
+
+    @ParameterizedTest(name = "{0} failures hold for {1} ms")
+    @CsvSource({"1, 400", "2, 800", "3, 1600", "4, 3200", "9, 3200"})
+    void failuresHoldLongerEachTime(int failures, long holdMillis) {
+        for (int i = 0; i < failures; i++) {
+            state.recordFailure(1_000);
+        }
+        assertThat(state.isEjected(1_000 + holdMillis - 1), is(true));
+        assertThat(state.isEjected(1_000 + holdMillis), is(false));
+
+        state.recordSuccess();
+
+        assertThat(state.isEjected(1_001), is(false));
+    }
+
+    @ParameterizedTest(name = "report of {0} running after {1} ms")
+    @CsvSource({"5, 0, 6", "5, 1500, 6", "5, 1501, 2", "0, 0, 2"})
+    void reportedLoadCountsWhileItIsYoung(int running, long ageMillis, int expected) {
+        state.started(100);
+        state.recordLoad(running, 0, 1_000);
+        state.started(100);
+
+        assertThat(state.estimatedLoad(1_000 + ageMillis), is(expected));
+    }
+
+    @ParameterizedTest(name = "prompt of {0} tokens")
+    @CsvSource({"1", "8000"})
+    void booksAreBalancedAtTheEnd(long tokens) {
+        state.started(tokens);
+        assertThat(state.promptTokens(), is(tokens));
+
+        state.promptRead(tokens);
+        state.ended(tokens);
+
+        assertThat(state.promptTokens(), is(0L));
+        assertThat(state.heldTokens(), is(0L));
+        assertThat(state.inFlightCount(), is(0));
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceChoiceTest.java
@@ -0,0 +1,97 @@
+package io.laburnummoor.core.process;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.version.ForwardService;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+/** Guards against work for upstreams that leave, failed or are busy, and copies in the failure domain they guard. */
+final class InstanceChoiceTest {
+    private static final long NOW = 100_000;
+    private static final ForwardService DRAFTER = new ForwardService("drafter", 210, true, 24, 88_000, true);
+
+    private final DomainLosses losses = new DomainLosses();
+    private final InstanceState sapporo = state("s-1", "sapporo", false);
+    private final InstanceState asahikawa = state("a-1", "asahikawa", false);
+    private final InstanceTable table = new InstanceTable(List.of(sapporo, asahikawa));
+    private final InstanceChoice choice = new InstanceChoice("router-1", "niseko", losses);
+
+    private static InstanceState state(String id, String domain, boolean leaving) {
+        return new InstanceState(
+                new UpstreamInstance(id, "drafter", domain, "10.0.0.1", 80, "v1", 24, leaving, 0, 1, 1));
+    }
+
+    static Stream<Arguments> handicaps() {
+        return Stream.of(
+                handicap("ejected", state -> state.recordFailure(NOW)),
+                handicap("full", state -> state.recordFull(NOW)),
+                handicap("gone", state -> state.recordGone(NOW)),
+                handicap("reads prompts", state -> state.started(8_000)),
+                handicap("told load", state -> state.recordLoad(6, 2, NOW)),
+                handicap("told errors", state -> {
+                    state.recordError();
+                    state.recordError();
+                }));
+    }
+
+    private static Arguments handicap(String name, Consumer<InstanceState> change) {
+        return Arguments.of(name, change);
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("handicaps")
+    void theOtherUpstreamIsChosen(String name, Consumer<InstanceState> change) {
+        change.accept(asahikawa);
+        assertThat(choice.choose(table, DRAFTER, Set.of(), NOW), is(sapporo));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("handicaps")
+    void theHandicapMattersForEitherUpstream(String name, Consumer<InstanceState> change) {
+        change.accept(sapporo);
+        assertThat(choice.choose(table, DRAFTER, Set.of(), NOW), is(asahikawa));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"sapporo", "asahikawa"})
+    void aSuspectDomainIsAvoided(String domain) {
+        losses.record("drafter", domain, "x-1", NOW - 10);
+        losses.record("drafter", domain, "x-2", NOW);
+
+        InstanceState chosen = choice.choose(table, DRAFTER, Set.of(), NOW);
+
+        assertThat(chosen, is(notNullValue()));
+        assertThat(chosen == null ? "" : chosen.instance().failureDomain(), is(not(domain)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"drafter", "gatedesk"})
+    void nothingIsChosenWhenAllAreExcluded(String service) {
+        ForwardService named = new ForwardService(service, 210, true, 24, 88_000, true);
+        assertThat(choice.choose(table, named, Set.of("s-1", "a-1"), NOW), is(nullValue()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 8_000})
+    void theCopyIsKeptInAnotherDomainWithRoom(long tokens) {
+        assertThat(choice.chooseBackup(table, DRAFTER, sapporo.instance(), tokens, NOW), is(asahikawa));
+
+        asahikawa.addCopyTokens(88_000);
+
+        assertThat(choice.chooseBackup(table, DRAFTER, sapporo.instance(), tokens, NOW), is(nullValue()));
+    }
+}
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/request/RequestGateTest.java
@@ -0,0 +1,90 @@
+package io.laburnummoor.core.request;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import io.laburnummoor.core.version.ClientLimits;
+import io.laburnummoor.core.version.ForwardConfig;
+import io.laburnummoor.core.version.ForwardRoute;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+/** Guards against requests that run with a withdrawn key, on the wrong route, or are refused though they are proper. */
+final class RequestGateTest {
+    private static final ForwardConfig CONFIG = new ForwardConfig(
+            7,
+            List.of(
+                    route("short", "/desk/", "a", false),
+                    route("long", "/desk/waivers/", "b", false),
+                    route("open", "/open/", "a", true)),
+            List.of(),
+            Map.of("key-1", "niseko-park"),
+            ClientLimits.DEFAULT);
+
+    private static ForwardRoute route(String name, String prefix, String service, boolean anonymous) {
+        return new ForwardRoute(
+                name,
+                "desk.example",
+                prefix,
+                RepeatRule.IDEMPOTENT,
+                false,
+                800,
+                300,
+                2,
+                anonymous,
+                List.of(new ForwardRoute.Target(service, 1)),
+                0);
+    }
+
+    static Stream<Arguments> requests() {
+        return Stream.of(
+                Arguments.of(true, "desk.example", "/desk/1", "key-1", "short", null),
+                Arguments.of(true, "DESK.example", "/desk/waivers/1", "key-1", "long", null),
+                Arguments.of(true, "desk.example", "/open/1", null, "open", null),
+                Arguments.of(false, "desk.example", "/open/1", null, "open", null),
+                Arguments.of(true, "desk.example", "/desk/1", null, null, RequestGate.Refusal.UNKNOWN_KEY),
+                Arguments.of(true, "desk.example", "/desk/1", "old", null, RequestGate.Refusal.UNKNOWN_KEY),
+                Arguments.of(true, "desk.example", "/desk", "key-1", null, RequestGate.Refusal.UNKNOWN_ROUTE),
+                Arguments.of(true, "other.example", "/desk/1", "key-1", null, RequestGate.Refusal.UNKNOWN_ROUTE),
+                Arguments.of(false, "desk.example", "/desk/1", "key-1", null, RequestGate.Refusal.STALE_CONFIGURATION),
+                Arguments.of(false, "desk.example", "/new/1", "key-1", null, RequestGate.Refusal.STALE_CONFIGURATION));
+    }
+
+    @ParameterizedTest(name = "fresh {0}: {1}{2} with {3}")
+    @MethodSource("requests")
+    void routeAndKeyDecide(
+            boolean fresh,
+            String host,
+            String path,
+            @Nullable String key,
+            @Nullable String routeName,
+            RequestGate.@Nullable Refusal refusal) {
+        RequestGate.Verdict verdict = RequestGate.decide(CONFIG, fresh, host, path, key);
+
+        assertThat(verdict.refusal(), is(refusal));
+        ForwardRoute route = verdict.route();
+        assertThat(route == null ? null : route.name(), is(routeName));
+    }
+
+    @ParameterizedTest
+    @MethodSource("requests")
+    void nothingIsForwardedWithoutConfiguration(
+            boolean fresh,
+            String host,
+            String path,
+            @Nullable String key,
+            @Nullable String routeName,
+            RequestGate.@Nullable Refusal refusal) {
+        RequestGate.Verdict verdict = RequestGate.decide(null, fresh, host, path, key);
+
+        assertThat(verdict.refusal(), is(RequestGate.Refusal.NO_CONFIGURATION));
+        assertThat(verdict.route(), is(nullValue()));
+    }
+}
