--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerChannelInitializer.java
@@ -0,0 +1,51 @@
+package io.laburnummoor.gateway.connection;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.laburnummoor.gateway.process.GatewayContext;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+/** Sets up callers' connections; those of one event loop share a pool of upstream connections. */
+public final class CallerChannelInitializer extends ChannelInitializer<SocketChannel> {
+    private final GatewayContext gateway;
+    private final Map<EventLoop, UpstreamPool> pools = new ConcurrentHashMap<>();
+
+    /** Creates an initializer for the connections of a gateway. */
+    public CallerChannelInitializer(GatewayContext gateway) {
+        this.gateway = gateway;
+    }
+
+    @Override
+    protected void initChannel(SocketChannel channel) {
+        UpstreamPool pool = pools.computeIfAbsent(channel.eventLoop(), loop -> new UpstreamPool(loop, gateway.clock()));
+        StrictRequestDecoder decoder =
+                new StrictRequestDecoder(gateway.state().limits().headerBytes());
+        CallerConnection connection = new CallerConnection(gateway, pool, decoder);
+        channel.pipeline()
+                .addLast(new ByteWatch(connection))
+                .addLast(decoder)
+                .addLast(new HttpResponseEncoder())
+                .addLast(connection);
+    }
+
+    /** Tells the connection of bytes that the decoder may hold back until a head is complete. */
+    private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        private ByteWatch(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.bytesArrived();
+            context.fireChannelRead(message);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -0,0 +1,326 @@
+package io.laburnummoor.gateway.connection;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+import io.laburnummoor.core.request.RequestGate;
+import io.laburnummoor.core.version.ClientLimits;
+import io.laburnummoor.core.version.ForwardRoute;
+import io.laburnummoor.core.version.ForwardService;
+import io.laburnummoor.gateway.process.GatewayContext;
+import io.laburnummoor.gateway.request.CallerHead;
+import io.laburnummoor.gateway.request.ForwardRequest;
+import io.laburnummoor.gateway.request.ForwardSession;
+import io.laburnummoor.gateway.request.OwnAnswer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One connection of a caller: collects each request whole, one after the other, and starts a session for it. Confined
+ * to the event loop of its channel.
+ */
+public final class CallerConnection extends ChannelInboundHandlerAdapter {
+    private static final long CHECK_MILLIS = 1_000;
+    private static final int MAX_QUEUED_MESSAGES = 64;
+    /** Another router can serve the request at once, so the caller need not wait. */
+    private static final long RETRY_AFTER_UNCONFIGURED_MILLIS = 50;
+
+    private final GatewayContext gateway;
+    private final UpstreamPool pool;
+    private final StrictRequestDecoder decoder;
+    private final Deque<Object> queued = new ArrayDeque<>();
+    private @Nullable ScheduledFuture<?> checkTimer;
+    private @Nullable HttpRequest head;
+    private @Nullable ByteBuf body;
+    private @Nullable CallerResponse response;
+    private @Nullable ForwardSession session;
+    private long headArrivedMillis;
+    private long quietSinceMillis;
+    private long partialSinceMillis = -1;
+    private boolean closing;
+
+    CallerConnection(GatewayContext gateway, UpstreamPool pool, StrictRequestDecoder decoder) {
+        this.gateway = gateway;
+        this.pool = pool;
+        this.decoder = decoder;
+    }
+
+    /** Notes that bytes have arrived before the decoder has seen them. */
+    void bytesArrived() {
+        if (head == null && response == null && partialSinceMillis < 0) {
+            partialSinceMillis = now();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        quietSinceMillis = now();
+        checkTimer = context.executor()
+                .scheduleWithFixedDelay(() -> check(context), CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (checkTimer != null) {
+            checkTimer.cancel(false);
+        }
+        closing = true;
+        queued.forEach(ReferenceCountUtil::release);
+        queued.clear();
+        releaseBody();
+        ForwardSession open = session;
+        session = null;
+        if (open != null) {
+            open.callerGone();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (session != null) {
+            session.writabilityChanged(context.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (closing) {
+            ReferenceCountUtil.release(message);
+        } else if (response != null) {
+            queued.addLast(message);
+            if (queued.size() > MAX_QUEUED_MESSAGES) {
+                context.close();
+            }
+        } else {
+            handle(context, message);
+        }
+    }
+
+    private void handle(ChannelHandlerContext context, Object message) {
+        try {
+            if (message instanceof HttpRequest request) {
+                beginRequest(context, request);
+            }
+            if (message instanceof HttpContent content && head != null) {
+                addBody(context, content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
+        partialSinceMillis = -1;
+        headArrivedMillis = now();
+        if (request.decoderResult().isFailure()) {
+            boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
+            refuseBroken(
+                    context,
+                    tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        if (decoder.isAmbiguous(request)) {
+            refuseBroken(context, HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        long length = HttpUtil.getContentLength(request, -1L);
+        if (length > gateway.state().limits().bodyBytes()) {
+            refuseBroken(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        head = request;
+        body = Unpooled.buffer((int) Math.max(0, length));
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void addBody(ChannelHandlerContext context, HttpContent content) {
+        ByteBuf collected = body;
+        if (collected == null) {
+            return;
+        }
+        if (content.decoderResult().isFailure()) {
+            refuseBroken(context, HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        if (collected.readableBytes() + content.content().readableBytes()
+                > gateway.state().limits().bodyBytes()) {
+            refuseBroken(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        collected.writeBytes(content.content());
+        if (content instanceof LastHttpContent) {
+            dispatch(context);
+        }
+    }
+
+    private void dispatch(ChannelHandlerContext context) {
+        HttpRequest request = head;
+        ByteBuf collected = body;
+        if (request == null || collected == null) {
+            return;
+        }
+        byte[] bytes = new byte[collected.readableBytes()];
+        collected.readBytes(bytes);
+        releaseBody();
+        head = null;
+        CallerHead caller = gateway.codec().decodeCaller(request.headers());
+        CallerResponse exchange = new CallerResponse(this, context, gateway, caller, HttpUtil.isKeepAlive(request));
+        response = exchange;
+        admit(context, request, bytes, caller, exchange);
+    }
+
+    private void admit(
+            ChannelHandlerContext context,
+            HttpRequest request,
+            byte[] bytes,
+            CallerHead caller,
+            CallerResponse exchange) {
+        String id = caller.attemptId();
+        if (id == null) {
+            exchange.answerOwn(new OwnAnswer(HttpResponseStatus.BAD_REQUEST.code(), "bad_request", 0));
+            return;
+        }
+        boolean fresh = gateway.freshness().isWithin(gateway.settings().revocationMillis());
+        RequestGate.Verdict verdict =
+                RequestGate.decide(gateway.state().config(), fresh, hostOf(request), pathOf(request), caller.key());
+        ForwardRoute route = verdict.route();
+        ForwardService service = route == null ? null : serviceOf(route);
+        if (route == null || service == null) {
+            refuse(id, verdict.refusal(), exchange);
+            return;
+        }
+        ForwardRequest forward = new ForwardRequest(
+                id,
+                request.method(),
+                request.uri(),
+                request.headers(),
+                bytes,
+                caller,
+                verdict.organisation(),
+                headArrivedMillis);
+        ForwardSession started =
+                new ForwardSession(gateway, context.channel().eventLoop(), pool, exchange, forward, route, service);
+        session = started;
+        started.start();
+    }
+
+    private @Nullable ForwardService serviceOf(ForwardRoute route) {
+        var config = gateway.state().config();
+        String name = route.chooseService(
+                java.util.concurrent.ThreadLocalRandom.current().nextDouble());
+        return config == null ? null : config.service(name);
+    }
+
+    private void refuse(String id, RequestGate.@Nullable Refusal refusal, CallerResponse exchange) {
+        RequestGate.Refusal reason = refusal == null ? RequestGate.Refusal.NO_CONFIGURATION : refusal;
+        OwnAnswer answer =
+                switch (reason) {
+                    case NO_CONFIGURATION, STALE_CONFIGURATION -> OwnAnswer.notRun(
+                            "configuration_unknown", RETRY_AFTER_UNCONFIGURED_MILLIS);
+                    case UNKNOWN_ROUTE -> new OwnAnswer(HttpResponseStatus.NOT_FOUND.code(), "unknown_route", 0);
+                    case UNKNOWN_KEY -> new OwnAnswer(HttpResponseStatus.UNAUTHORIZED.code(), "unauthenticated", 0);
+                };
+        var config = gateway.state().config();
+        gateway.log()
+                .line("request_refused")
+                .text("request", id)
+                .text("reason", reason.name())
+                .number("status", answer.status())
+                .number("config_version", config == null ? 0 : config.version())
+                .number("config_age_ms", gateway.freshness().ageMillis())
+                .write();
+        gateway.metrics().requestEnded("none", answer.status());
+        if (answer.retryAfterMillis() > 0) {
+            exchange.closeAfterAnswer();
+        }
+        exchange.answerOwn(answer);
+    }
+
+    private static String hostOf(HttpRequest request) {
+        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        int colon = host.lastIndexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+
+    private static String pathOf(HttpRequest request) {
+        String target = request.uri();
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    /** Answers a request that cannot be read to its end and closes the connection. */
+    private void refuseBroken(ChannelHandlerContext context, HttpResponseStatus status) {
+        closing = true;
+        head = null;
+        releaseBody();
+        FullHttpResponse refusal = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+        refusal.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
+        gateway.log().line("request_unreadable").number("status", status.code()).write();
+        context.writeAndFlush(refusal).addListener(written -> context.close());
+    }
+
+    /** The open request has its final answer. */
+    void exchangeEnded(ChannelHandlerContext context, boolean keepOpen) {
+        session = null;
+        response = null;
+        quietSinceMillis = now();
+        if (!keepOpen) {
+            closing = true;
+            return;
+        }
+        while (response == null && !closing && !queued.isEmpty()) {
+            handle(context, queued.pollFirst());
+        }
+    }
+
+    private void check(ChannelHandlerContext context) {
+        if (response != null) {
+            return;
+        }
+        ClientLimits limits = gateway.state().limits();
+        long now = now();
+        boolean headLate = partialSinceMillis >= 0 && now - partialSinceMillis > limits.headerTimeoutMillis();
+        boolean bodyLate = head != null && now - headArrivedMillis > limits.idleTimeoutMillis();
+        boolean idle = head == null && partialSinceMillis < 0;
+        if (headLate || bodyLate) {
+            refuseBroken(context, HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (idle && (gateway.state().isDraining() || now - quietSinceMillis > limits.idleTimeoutMillis())) {
+            closing = true;
+            context.close();
+        }
+    }
+
+    private void releaseBody() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    private long now() {
+        return gateway.clock().nowMillis();
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
@@ -0,0 +1,120 @@
+package io.laburnummoor.gateway.connection;
+
+import java.nio.charset.StandardCharsets;
+
+import io.laburnummoor.gateway.process.GatewayContext;
+import io.laburnummoor.gateway.request.CallerExchange;
+import io.laburnummoor.gateway.request.CallerHead;
+import io.laburnummoor.gateway.request.OwnAnswer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** Writes the answer to one request on a caller's connection. */
+final class CallerResponse implements CallerExchange {
+    private final CallerConnection connection;
+    private final ChannelHandlerContext context;
+    private final GatewayContext gateway;
+    private final CallerHead caller;
+    private boolean callerKeepsOpen;
+    private boolean ended;
+
+    CallerResponse(
+            CallerConnection connection,
+            ChannelHandlerContext context,
+            GatewayContext gateway,
+            CallerHead caller,
+            boolean callerKeepsOpen) {
+        this.connection = connection;
+        this.context = context;
+        this.gateway = gateway;
+        this.caller = caller;
+        this.callerKeepsOpen = callerKeepsOpen;
+    }
+
+    /** Leads the caller to another router: its next request comes on a new connection. */
+    void closeAfterAnswer() {
+        callerKeepsOpen = false;
+    }
+
+    @Override
+    public void answerWhole(int status, HttpHeaders headers, ByteBuf body) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body);
+        response.headers().set(headers);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        writeLast(response, keepOpen(response));
+    }
+
+    @Override
+    public void answerOwn(OwnAnswer answer) {
+        String text = "{\"code\":\"" + answer.code() + "\"}\n";
+        ByteBuf body = Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
+        answerWhole(answer.status(), gateway.codec().encodeOwnAnswer(answer, caller), body);
+    }
+
+    @Override
+    public void beginStream(int status, HttpHeaders headers) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        response.headers().set(headers);
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        keepOpen(response);
+        context.write(response, context.voidPromise());
+    }
+
+    @Override
+    public void writeEvents(ByteBuf events) {
+        context.writeAndFlush(new DefaultHttpContent(events), context.voidPromise());
+    }
+
+    @Override
+    public void endStream() {
+        writeLast(
+                LastHttpContent.EMPTY_LAST_CONTENT,
+                callerKeepsOpen && !gateway.state().isDraining());
+    }
+
+    @Override
+    public void abort() {
+        ended = true;
+        context.close();
+    }
+
+    @Override
+    public boolean isWritable() {
+        return context.channel().isWritable();
+    }
+
+    private boolean keepOpen(HttpResponse response) {
+        boolean keep = callerKeepsOpen && !gateway.state().isDraining();
+        if (!keep) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        return keep;
+    }
+
+    private void writeLast(Object message, boolean keep) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        ChannelFuture written = context.writeAndFlush(message);
+        if (!keep) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        context.executor().execute(() -> connection.exchangeEnded(context, keep));
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/EventFramer.java
@@ -0,0 +1,86 @@
+package io.laburnummoor.gateway.connection;
+
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/** Cuts the bytes of a stream into whole events; bytes of an unfinished event stay back. Not thread-safe. */
+public final class EventFramer {
+    /** Bound on one event, so that a broken upstream cannot fill the memory. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
+    private static final byte LINE_END = '\n';
+    private static final byte CARRIAGE_RETURN = '\r';
+    private static final String ID_FIELD = "id:";
+
+    private final ByteBuf pending = Unpooled.buffer(256);
+
+    /**
+     * Adds bytes and passes on each whole event.
+     *
+     * @throws IllegalArgumentException if an event is larger than the bound or its id is not a number
+     */
+    public void add(ByteBuf bytes, Consumer<Event> consumer) {
+        pending.writeBytes(bytes);
+        int end = findEnd();
+        while (end >= 0) {
+            byte[] event = new byte[end - pending.readerIndex()];
+            pending.readBytes(event);
+            consumer.accept(new Event(idOf(event), event));
+            end = findEnd();
+        }
+        if (pending.readableBytes() > MAX_EVENT_BYTES) {
+            throw new IllegalArgumentException("event is larger than " + MAX_EVENT_BYTES + " bytes");
+        }
+        pending.discardReadBytes();
+    }
+
+    /** Returns whether an event has begun and not ended. */
+    public boolean hasPartialEvent() {
+        return pending.isReadable();
+    }
+
+    /** Returns the index after the blank line that ends the first event, or -1. */
+    private int findEnd() {
+        int from = pending.readerIndex();
+        while (true) {
+            int lineEnd = pending.indexOf(from, pending.writerIndex(), LINE_END);
+            if (lineEnd < 0) {
+                return -1;
+            }
+            int next = lineEnd + 1;
+            if (next < pending.writerIndex() && pending.getByte(next) == CARRIAGE_RETURN) {
+                next++;
+            }
+            if (next >= pending.writerIndex()) {
+                return -1;
+            }
+            if (pending.getByte(next) == LINE_END) {
+                return next + 1;
+            }
+            from = lineEnd + 1;
+        }
+    }
+
+    private static long idOf(byte[] event) {
+        for (String line : new String(event, StandardCharsets.ISO_8859_1).split("\r?\n")) {
+            if (line.startsWith(ID_FIELD)) {
+                return Long.parseLong(line.substring(ID_FIELD.length()).trim());
+            }
+        }
+        return Event.NO_ID;
+    }
+
+    /**
+     * One whole event.
+     *
+     * @param id id of the event, or {@link #NO_ID}
+     * @param bytes the event with its closing blank line
+     */
+    public record Event(long id, byte[] bytes) {
+        /** Stands for an event without an id. */
+        public static final long NO_ID = -1;
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -0,0 +1,206 @@
+package io.laburnummoor.gateway.connection;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One connection to an upstream, which carries one request at a time. Bytes that belong to no open request close it.
+ * Confined to the event loop of its channel.
+ */
+public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    private final UpstreamPool pool;
+    private final String key;
+    private @Nullable Channel channel;
+    private @Nullable UpstreamListener listener;
+    private boolean headSeen;
+    private boolean skippingInterim;
+    private boolean reusable;
+    private boolean unframed;
+    private boolean failed;
+    private long idleSinceMillis;
+    private long idleLimitMillis;
+
+    UpstreamConnection(UpstreamPool pool, String key) {
+        this.pool = pool;
+        this.key = key;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    /** Sends a request; the listener hears its answer. */
+    public void send(FullHttpRequest request, UpstreamListener answerListener) {
+        Channel target = channel;
+        listener = answerListener;
+        headSeen = false;
+        reusable = false;
+        unframed = false;
+        if (target == null || !target.isActive()) {
+            ReferenceCountUtil.release(request);
+            breakOff("connection is closed");
+            return;
+        }
+        target.writeAndFlush(request).addListener((ChannelFutureListener) written -> {
+            if (!written.isSuccess()) {
+                breakOff("write failed");
+                target.close();
+            }
+        });
+    }
+
+    /** Ends the open request without an answer: the connection is closed, so that the upstream stops the work. */
+    public void cancel() {
+        listener = null;
+        close();
+    }
+
+    /** Stops or continues reading from the upstream. */
+    public void setReading(boolean reading) {
+        Channel target = channel;
+        if (target != null) {
+            target.config().setAutoRead(reading);
+        }
+    }
+
+    /** Keeps the connection only as long as the upstream says that it keeps an idle one. */
+    public void limitIdle(long limitMillis) {
+        idleLimitMillis = limitMillis;
+    }
+
+    /** Gives the connection back to its pool. */
+    void becameIdle() {
+        idleSinceMillis = pool.nowMillis();
+        pool.release(this);
+    }
+
+    boolean isUsable(long nowMillis) {
+        Channel target = channel;
+        return target != null && target.isActive() && !failed && nowMillis - idleSinceMillis < idleLimitMillis;
+    }
+
+    void close() {
+        Channel target = channel;
+        if (target != null) {
+            target.close();
+        }
+    }
+
+    String key() {
+        return key;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            read(message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(Object message) {
+        if (listener == null) {
+            failed = true;
+            close();
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            readHead(response);
+        }
+        if (message instanceof HttpContent content && listener != null) {
+            readContent(content);
+        }
+    }
+
+    private void readHead(HttpResponse response) {
+        if (response.decoderResult().isFailure()) {
+            breakOff("bytes are no answer");
+            return;
+        }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            skippingInterim = true;
+            return;
+        }
+        if (headSeen) {
+            breakOff("second answer");
+            return;
+        }
+        headSeen = true;
+        boolean framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+        unframed = !framed;
+        reusable = framed && HttpUtil.isKeepAlive(response);
+        UpstreamListener current = listener;
+        if (current != null) {
+            current.onHead(response);
+        }
+    }
+
+    private void readContent(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            breakOff("body is malformed");
+            return;
+        }
+        boolean last = content instanceof LastHttpContent;
+        if (skippingInterim) {
+            skippingInterim = !last;
+            return;
+        }
+        UpstreamListener current = listener;
+        ByteBuf bytes = content.content();
+        if (current != null && bytes.isReadable()) {
+            current.onContent(bytes);
+        }
+        if (last && !(unframed && failed)) {
+            complete();
+        }
+    }
+
+    private void complete() {
+        UpstreamListener current = listener;
+        if (current == null) {
+            return;
+        }
+        listener = null;
+        current.onComplete();
+        if (reusable && !failed) {
+            setReading(true);
+            becameIdle();
+        } else {
+            close();
+        }
+    }
+
+    private void breakOff(String cause) {
+        failed = true;
+        UpstreamListener current = listener;
+        listener = null;
+        close();
+        if (current != null) {
+            current.onBroken(cause);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        pool.remove(this);
+        breakOff("connection ended");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        breakOff("connection failed: " + cause.getClass().getSimpleName());
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
@@ -0,0 +1,112 @@
+package io.laburnummoor.gateway.connection;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The idle upstream connections of one event loop, most recently used first. Confined to that loop; each loop has its
+ * own, so that no lock is taken on the path of a request.
+ */
+public final class UpstreamPool {
+    /** Round trips take a few milliseconds; a lost opening packet would be sent again only after a second. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 250;
+    /** Idle time after which a connection is not used if the upstream does not say how long it keeps one. */
+    private static final long DEFAULT_IDLE_MILLIS = 2_000;
+
+    private static final int MAX_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 32_768;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Map<String, Deque<UpstreamConnection>> idleByKey = new HashMap<>();
+
+    /** Creates a pool without connections. */
+    public UpstreamPool(EventLoop loop, Clock clock) {
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    /** Hands over an idle connection, or null if there is none. */
+    public @Nullable UpstreamConnection takeIdle(UpstreamInstance instance) {
+        Deque<UpstreamConnection> idle = idleByKey.get(keyOf(instance));
+        while (idle != null && !idle.isEmpty()) {
+            UpstreamConnection connection = idle.pollFirst();
+            if (connection.isUsable(nowMillis())) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    /** Opens a connection; the consumer gets it, or null if the upstream cannot be reached. */
+    public void open(UpstreamInstance instance, Consumer<@Nullable UpstreamConnection> consumer) {
+        UpstreamConnection connection = new UpstreamConnection(this, keyOf(instance));
+        connection.limitIdle(DEFAULT_IDLE_MILLIS);
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection);
+                    }
+                })
+                .connect(instance.host(), instance.port());
+        connecting.addListener((ChannelFutureListener) done -> consumer.accept(done.isSuccess() ? connection : null));
+    }
+
+    /** Tells whether the upstream accepts a connection; the connection is kept for the next request. */
+    public void probe(UpstreamInstance instance, Consumer<Boolean> consumer) {
+        open(instance, connection -> {
+            if (connection != null) {
+                connection.becameIdle();
+            }
+            consumer.accept(connection != null);
+        });
+    }
+
+    void release(UpstreamConnection connection) {
+        idleByKey.computeIfAbsent(connection.key(), key -> new ArrayDeque<>()).addFirst(connection);
+    }
+
+    void remove(UpstreamConnection connection) {
+        Deque<UpstreamConnection> idle = idleByKey.get(connection.key());
+        if (idle != null) {
+            idle.remove(connection);
+            if (idle.isEmpty()) {
+                idleByKey.remove(connection.key());
+            }
+        }
+    }
+
+    long nowMillis() {
+        return clock.nowMillis();
+    }
+
+    /** A later life at the same address gets connections of its own. */
+    private static String keyOf(UpstreamInstance instance) {
+        return instance.id() + "@" + instance.address();
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/DecisionLog.java
@@ -0,0 +1,144 @@
+package io.laburnummoor.gateway.process;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import io.laburnummoor.core.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Writes one JSON line for each decision and each changed belief. A bounded queue stands between the threads that
+ * decide and the one that writes: when it is full, lines are dropped and counted, so that no request waits for a log.
+ *
+ * <pre>{@code
+ * log.line("upstream_chosen").text("request", id).number("load", 3).write();
+ * }</pre>
+ */
+public final class DecisionLog implements Service {
+    private static final int QUEUE_LINES = 4_096;
+    /** Lines of this time are written together, which saves wake-ups of the writing thread. */
+    private static final long BATCH_MILLIS = 50;
+
+    private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final AtomicLong droppedCount = new AtomicLong();
+    private final String processName;
+    private final PrintStream output;
+    private final Thread writer;
+    private volatile boolean stopping;
+
+    /** Creates a log whose lines carry the name of the process. */
+    public DecisionLog(String processName, PrintStream output) {
+        this.processName = processName;
+        this.output = output;
+        this.writer = new Thread(this::writeLines, "log");
+        this.writer.setDaemon(true);
+    }
+
+    /** Begins a line about an event. */
+    public Line line(String event) {
+        return new Line(event);
+    }
+
+    /** Returns the number of lines dropped so far. */
+    public long droppedCount() {
+        return droppedCount.get();
+    }
+
+    @Override
+    public void start() {
+        writer.start();
+    }
+
+    @Override
+    public void stop() {
+        stopping = true;
+        writer.interrupt();
+        try {
+            writer.join(4 * BATCH_MILLIS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void writeLines() {
+        long reportedDrops = 0;
+        List<String> batch = new ArrayList<>();
+        while (!stopping) {
+            try {
+                batch.add(queue.take());
+                Thread.sleep(BATCH_MILLIS);
+            } catch (InterruptedException interrupted) {
+                stopping = true;
+            }
+            reportedDrops = writeBatch(batch, reportedDrops);
+        }
+    }
+
+    private long writeBatch(List<String> batch, long reportedDrops) {
+        queue.drainTo(batch);
+        StringBuilder text = new StringBuilder();
+        batch.forEach(line -> text.append(line).append('\n'));
+        batch.clear();
+        long drops = droppedCount.get();
+        if (drops > reportedDrops) {
+            text.append(new Line("log_lines_dropped")
+                            .number("count", drops - reportedDrops)
+                            .toJson())
+                    .append('\n');
+        }
+        byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
+        output.write(bytes, 0, bytes.length);
+        output.flush();
+        return drops;
+    }
+
+    /** One line that is being built. */
+    public final class Line {
+        private final StringBuilder json = new StringBuilder(192);
+
+        private Line(String event) {
+            json.append("{\"at_ms\":").append(System.currentTimeMillis());
+            text("process", processName);
+            text("event", event);
+        }
+
+        /** Adds a text; null is left out. */
+        public Line text(String name, @Nullable String value) {
+            if (value != null) {
+                json.append(",\"").append(name).append("\":\"");
+                JsonStringEncoder.getInstance().quoteAsString(value, json);
+                json.append('"');
+            }
+            return this;
+        }
+
+        /** Adds a number. */
+        public Line number(String name, long value) {
+            json.append(",\"").append(name).append("\":").append(value);
+            return this;
+        }
+
+        /** Adds a truth value. */
+        public Line flag(String name, boolean value) {
+            json.append(",\"").append(name).append("\":").append(value);
+            return this;
+        }
+
+        /** Queues the line, or counts it as dropped. */
+        public void write() {
+            if (!queue.offer(toJson())) {
+                droppedCount.incrementAndGet();
+            }
+        }
+
+        private String toJson() {
+            return json + "}";
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayContext.java
@@ -0,0 +1,43 @@
+package io.laburnummoor.gateway.process;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.process.ConfigFreshness;
+import io.laburnummoor.core.process.DomainLosses;
+import io.laburnummoor.core.process.InstanceChoice;
+import io.laburnummoor.core.process.PromptPace;
+import io.laburnummoor.core.process.WindowedRetryBudget;
+import io.laburnummoor.gateway.request.ForwardCodec;
+
+/**
+ * The parts of the process that requests use.
+ *
+ * @param clock monotonic clock
+ * @param currentSettings settings in force
+ * @param state published configuration and upstreams
+ * @param freshness age of the configuration
+ * @param choice choice of upstreams
+ * @param losses losses of whole failure domains
+ * @param budget retry budget
+ * @param pace speed at which engines read prompts
+ * @param codec translation of headers
+ * @param log decision log
+ * @param metrics counters and histograms
+ */
+public record GatewayContext(
+        Clock clock,
+        Snapshot<GatewaySettings> currentSettings,
+        GatewayState state,
+        ConfigFreshness freshness,
+        InstanceChoice choice,
+        DomainLosses losses,
+        WindowedRetryBudget budget,
+        PromptPace pace,
+        ForwardCodec codec,
+        DecisionLog log,
+        GatewayMetrics metrics) {
+    /** Returns the settings in force. */
+    public GatewaySettings settings() {
+        return currentSettings.get();
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -0,0 +1,83 @@
+package io.laburnummoor.gateway.process;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Counters and latency histograms of a gateway. */
+public final class GatewayMetrics {
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double[] LATENCY_SECONDS = {0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1, 1.5, 2.5, 4.5, 10, 25};
+    private static final double[] PAUSE_SECONDS = {0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests = Counter.builder()
+            .name("laburnummoor_requests_total")
+            .help("Requests by route and final status.")
+            .labelNames("route", "status")
+            .register(registry);
+    private final Counter attempts = Counter.builder()
+            .name("laburnummoor_attempts_total")
+            .help("Attempts on upstreams by service and result.")
+            .labelNames("service", "result")
+            .register(registry);
+    private final Histogram duration = Histogram.builder()
+            .name("laburnummoor_request_seconds")
+            .help("Time from the request to the whole answer or the first event.")
+            .labelNames("route")
+            .classicUpperBounds(LATENCY_SECONDS)
+            .classicOnly()
+            .register(registry);
+    private final Histogram resumePause = Histogram.builder()
+            .name("laburnummoor_resume_pause_seconds")
+            .help("Pause between the last event before a resumption and the first one after it.")
+            .classicUpperBounds(PAUSE_SECONDS)
+            .classicOnly()
+            .register(registry);
+    private final Counter storeCalls = Counter.builder()
+            .name("laburnummoor_store_calls_total")
+            .help("Calls to the platform's key-value service by result.")
+            .labelNames("result")
+            .register(registry);
+
+    /** Counts a request that has ended. */
+    public void requestEnded(String route, int status) {
+        requests.labelValues(route, Integer.toString(status)).inc();
+    }
+
+    /** Counts an attempt that has ended. */
+    public void attemptEnded(String service, String result) {
+        attempts.labelValues(service, result).inc();
+    }
+
+    /** Records the time to a whole answer or a first event. */
+    public void answered(String route, long millis) {
+        duration.labelValues(route).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /** Records the pause of a stream that was continued on another upstream. */
+    public void resumed(long pauseMillis) {
+        resumePause.observe(pauseMillis / MILLIS_PER_SECOND);
+    }
+
+    /** Counts a call to the key-value service. */
+    public void storeCall(boolean succeeded) {
+        storeCalls.labelValues(succeeded ? "ok" : "failed").inc();
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public byte[] toText() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(false).write(bytes, registry.scrape());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -0,0 +1,90 @@
+package io.laburnummoor.gateway.process;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import io.laburnummoor.core.Service;
+import io.laburnummoor.gateway.connection.CallerChannelInitializer;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/** Listens for callers, readiness questions and metrics, and drains at the stop. */
+public final class GatewayServer implements Service {
+    private static final int EVENT_LOOPS = 2;
+    private static final int BACKLOG = 1_024;
+    /** The balancer asks once a second and takes a router out after two misses. */
+    private static final long BALANCER_NOTICE_MILLIS = 2_300;
+    /** Time that is kept for closing sockets and writing the last log lines. */
+    private static final long STOP_MARGIN_MILLIS = 700;
+
+    private static final long POLL_MILLIS = 50;
+    private static final byte[] EMPTY = {};
+
+    private final GatewayContext context;
+    private final Readiness readiness;
+    private final EventLoopGroup loops = new NioEventLoopGroup(EVENT_LOOPS, new DefaultThreadFactory("loop", true));
+
+    /** Creates a server. */
+    public GatewayServer(GatewayContext context, Readiness readiness) {
+        this.context = context;
+        this.readiness = readiness;
+    }
+
+    @Override
+    public void start() {
+        GatewaySettings settings = context.settings();
+        listen(settings.readyPort(), new PlainEndpoint(this::readyReply));
+        listen(
+                settings.metricsPort(),
+                new PlainEndpoint(() -> new PlainEndpoint.Reply(
+                        HttpResponseStatus.OK, context.metrics().toText())));
+        listen(settings.callerPort(), new CallerChannelInitializer(context));
+    }
+
+    private PlainEndpoint.Reply readyReply() {
+        return new PlainEndpoint.Reply(
+                readiness.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, EMPTY);
+    }
+
+    private void listen(int port, ChannelInitializer<SocketChannel> initializer) {
+        new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer)
+                .bind(context.settings().host(), port)
+                .syncUninterruptibly();
+    }
+
+    /** Tells the balancer, waits for open requests and then closes all connections. */
+    @Override
+    public void stop() {
+        context.state().beginDraining();
+        long start = context.clock().nowMillis();
+        long deadline = start + context.settings().stopMillis() - STOP_MARGIN_MILLIS;
+        long earliest = Math.min(deadline, start + BALANCER_NOTICE_MILLIS);
+        while (shouldWait(earliest, deadline)) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
+        }
+        context.log()
+                .line("drained")
+                .number("open_requests", context.state().openRequestCount())
+                .number("waited_ms", context.clock().nowMillis() - start)
+                .write();
+        loops.shutdownGracefully(0, POLL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean shouldWait(long earliest, long deadline) {
+        long now = context.clock().nowMillis();
+        return now < deadline && (now < earliest || context.state().openRequestCount() > 0);
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -0,0 +1,81 @@
+package io.laburnummoor.gateway.process;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.process.InstanceTable;
+import io.laburnummoor.core.version.ClientLimits;
+import io.laburnummoor.core.version.ForwardConfig;
+import org.jspecify.annotations.Nullable;
+
+/** What the control loops publish and requests read without a lock. */
+public final class GatewayState {
+    private final AtomicReference<@Nullable ForwardConfig> config = new AtomicReference<>();
+    private final Snapshot<InstanceTable> instances = new Snapshot<>(InstanceTable.EMPTY);
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final AtomicInteger openRequests = new AtomicInteger();
+    private final AtomicInteger routerCount = new AtomicInteger(1);
+
+    /** Returns the configuration in force, or null if none is known. */
+    public @Nullable ForwardConfig config() {
+        return config.get();
+    }
+
+    /** Puts a configuration in force. */
+    public void replaceConfig(ForwardConfig later) {
+        config.set(later);
+    }
+
+    /** Returns the known upstreams. */
+    public InstanceTable instances() {
+        return instances.get();
+    }
+
+    /** Replaces the known upstreams. */
+    public void replaceInstances(InstanceTable later) {
+        instances.replace(later);
+    }
+
+    /** Returns the bounds on callers. */
+    public ClientLimits limits() {
+        ForwardConfig current = config.get();
+        return current == null ? ClientLimits.DEFAULT : current.limits();
+    }
+
+    /** Returns whether the process is stopping. */
+    public boolean isDraining() {
+        return draining.get();
+    }
+
+    /** Marks the process as stopping. */
+    public void beginDraining() {
+        draining.set(true);
+    }
+
+    /** Counts a request that has begun. */
+    public void requestOpened() {
+        openRequests.incrementAndGet();
+    }
+
+    /** Counts a request that has ended. */
+    public void requestClosed() {
+        openRequests.decrementAndGet();
+    }
+
+    /** Returns the number of requests without a final answer. */
+    public int openRequestCount() {
+        return openRequests.get();
+    }
+
+    /** Returns the number of routers that share the retry budget. */
+    public int routerCount() {
+        return routerCount.get();
+    }
+
+    /** Records the number of routers. */
+    public void replaceRouterCount(int count) {
+        routerCount.set(count);
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/Readiness.java
@@ -0,0 +1,41 @@
+package io.laburnummoor.gateway.process;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.laburnummoor.core.process.ConfigFreshness;
+
+/** Decides whether the balancer should send new connections to this router. */
+public final class Readiness {
+    private final GatewayState state;
+    private final ConfigFreshness freshness;
+    private final DecisionLog log;
+    private final long revocationMillis;
+    private final AtomicBoolean lastAnswer = new AtomicBoolean();
+
+    /** Creates a readiness check. */
+    public Readiness(GatewayState state, ConfigFreshness freshness, DecisionLog log, long revocationMillis) {
+        this.state = state;
+        this.freshness = freshness;
+        this.log = log;
+        this.revocationMillis = revocationMillis;
+    }
+
+    /** Returns whether requests can be served now: not stopping, and the configuration is known and recent. */
+    public boolean isReady() {
+        boolean fresh = freshness.isWithin(revocationMillis);
+        boolean ready = !state.isDraining()
+                && state.config() != null
+                && fresh
+                && state.instances().size() > 0;
+        if (lastAnswer.getAndSet(ready) != ready) {
+            log.line("readiness_changed")
+                    .flag("ready", ready)
+                    .flag("draining", state.isDraining())
+                    .flag("config_known", state.config() != null)
+                    .number("config_age_ms", freshness.ageMillis())
+                    .number("upstreams", state.instances().size())
+                    .write();
+        }
+        return ready;
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/package-info.java
@@ -0,0 +1,5 @@
+/** What lives as long as the gateway process. */
+@NullMarked
+package io.laburnummoor.gateway.process;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -0,0 +1,256 @@
+package io.laburnummoor.gateway.request;
+
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.gateway.connection.EventFramer;
+import io.laburnummoor.gateway.connection.UpstreamConnection;
+import io.laburnummoor.gateway.connection.UpstreamListener;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
+
+/** One attempt of a request on one upstream: reads its answer and tells the session. Confined to one event loop. */
+final class Attempt implements UpstreamListener {
+    /** Bound on an answer that is kept whole before it is passed on. */
+    private static final int MAX_WHOLE_ANSWER_BYTES = 16 << 20;
+
+    private final ForwardSession session;
+    private final ForwardCodec codec;
+    private final InstanceState target;
+    private final @Nullable InstanceState backup;
+    private final boolean resumesFromCopy;
+    private final int number;
+    private final long tokens;
+    private final long startedMillis;
+    private final EventFramer framer = new EventFramer();
+    private @Nullable UpstreamConnection connection;
+    private @Nullable AnswerHead head;
+    private @Nullable HttpHeaders answerHeaders;
+    private @Nullable ByteBuf whole;
+    private long lastSignMillis;
+    private boolean streaming;
+    private boolean promptRead;
+    private boolean ended;
+
+    Attempt(
+            ForwardSession session,
+            ForwardCodec codec,
+            InstanceState target,
+            @Nullable InstanceState backup,
+            boolean resumesFromCopy,
+            int number,
+            long tokens,
+            long startedMillis) {
+        this.session = session;
+        this.codec = codec;
+        this.target = target;
+        this.backup = backup;
+        this.resumesFromCopy = resumesFromCopy;
+        this.number = number;
+        this.tokens = tokens;
+        this.startedMillis = startedMillis;
+        this.lastSignMillis = startedMillis;
+        target.started(tokens);
+        if (backup != null) {
+            backup.addCopyTokens(tokens);
+        }
+    }
+
+    void send(UpstreamConnection open, FullHttpRequest request) {
+        connection = open;
+        open.send(request, this);
+    }
+
+    /** Stops the attempt and closes its connection, so that the upstream stops working on it. */
+    void cancel() {
+        UpstreamConnection open = connection;
+        end();
+        if (open != null) {
+            open.cancel();
+        }
+    }
+
+    /** Releases what the attempt takes in the books of its upstreams; further calls have no effect. */
+    void end() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        connection = null;
+        markPromptRead();
+        target.ended(tokens);
+        if (backup != null) {
+            backup.addCopyTokens(-tokens);
+        }
+        if (whole != null) {
+            whole.release();
+            whole = null;
+        }
+    }
+
+    void setReading(boolean reading) {
+        UpstreamConnection open = connection;
+        if (open != null) {
+            open.setReading(reading);
+        }
+    }
+
+    boolean hasEnded() {
+        return ended;
+    }
+
+    int number() {
+        return number;
+    }
+
+    InstanceState target() {
+        return target;
+    }
+
+    @Nullable
+    InstanceState backup() {
+        return backup;
+    }
+
+    UpstreamInstance instance() {
+        return target.instance();
+    }
+
+    boolean resumesFromCopy() {
+        return resumesFromCopy;
+    }
+
+    long startedMillis() {
+        return startedMillis;
+    }
+
+    boolean hasEvents() {
+        return promptRead;
+    }
+
+    /** Returns when the last event arrived, or when the attempt started. */
+    long lastSignMillis() {
+        return lastSignMillis;
+    }
+
+    void recordSign(long nowMillis) {
+        lastSignMillis = nowMillis;
+        target.recordSeen(nowMillis);
+    }
+
+    private void markPromptRead() {
+        if (!promptRead) {
+            promptRead = true;
+            target.promptRead(tokens);
+        }
+    }
+
+    @Override
+    public void onHead(HttpResponse response) {
+        if (ended) {
+            return;
+        }
+        AnswerHead answer = codec.decodeAnswer(response);
+        if (!session.isOwnAnswer(answer)) {
+            breakProtocol("answer of another request");
+            return;
+        }
+        head = answer;
+        answerHeaders = response.headers();
+        UpstreamConnection open = connection;
+        if (open != null && answer.idleSeconds() > 0) {
+            open.limitIdle(session.usableIdleMillis(answer.idleSeconds()));
+        }
+        long now = session.nowMillis();
+        target.recordSeen(now);
+        AnswerHead.Load load = answer.load();
+        if (load != null) {
+            target.recordLoad(load.running(), load.waiting(), now);
+        }
+        if (answer.isSuccess() && (!answer.sealed() || answer.encoded())) {
+            breakProtocol("success without the upstream's signature or with an encoding");
+            return;
+        }
+        streaming = answer.isSuccess() && session.isStreaming();
+        if (!streaming) {
+            whole = Unpooled.buffer();
+        }
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+        if (ended) {
+            return;
+        }
+        if (streaming) {
+            readEvents(content);
+            return;
+        }
+        ByteBuf body = whole;
+        if (body != null) {
+            body.writeBytes(content);
+            if (body.readableBytes() > MAX_WHOLE_ANSWER_BYTES) {
+                breakProtocol("answer is larger than " + MAX_WHOLE_ANSWER_BYTES + " bytes");
+            }
+        }
+    }
+
+    private void readEvents(ByteBuf content) {
+        AnswerHead answer = head;
+        HttpHeaders headers = answerHeaders;
+        if (answer == null || headers == null) {
+            return;
+        }
+        try {
+            framer.add(content, event -> {
+                if (!ended) {
+                    markPromptRead();
+                    recordSign(session.nowMillis());
+                    session.onEvent(this, answer, headers, event);
+                }
+            });
+        } catch (IllegalArgumentException malformed) {
+            breakProtocol("event is malformed");
+        }
+    }
+
+    @Override
+    public void onComplete() {
+        AnswerHead answer = head;
+        HttpHeaders headers = answerHeaders;
+        if (ended || answer == null || headers == null) {
+            return;
+        }
+        if (streaming) {
+            if (framer.hasPartialEvent()) {
+                breakProtocol("stream ended inside an event");
+            } else {
+                session.onStreamEnd(this);
+            }
+            return;
+        }
+        ByteBuf body = whole;
+        whole = null;
+        if (body != null) {
+            session.onWholeAnswer(this, answer, headers, body);
+        }
+    }
+
+    @Override
+    public void onBroken(String cause) {
+        if (!ended) {
+            session.onLost(this, cause);
+        }
+    }
+
+    private void breakProtocol(String cause) {
+        UpstreamConnection open = connection;
+        if (open != null) {
+            open.cancel();
+        }
+        session.onLost(this, cause);
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -0,0 +1,100 @@
+package io.laburnummoor.gateway.request;
+
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.version.ForwardRoute;
+import io.laburnummoor.core.version.ForwardService;
+import io.laburnummoor.gateway.connection.UpstreamConnection;
+import io.laburnummoor.gateway.connection.UpstreamPool;
+import io.laburnummoor.gateway.process.GatewayContext;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses upstreams for the attempts of one request, connects to them and sends the request. */
+final class AttemptLauncher {
+    private final GatewayContext context;
+    private final UpstreamPool pool;
+    private final ForwardRequest request;
+    private final ForwardRoute route;
+    private final ForwardService service;
+
+    AttemptLauncher(
+            GatewayContext context,
+            UpstreamPool pool,
+            ForwardRequest request,
+            ForwardRoute route,
+            ForwardService service) {
+        this.context = context;
+        this.pool = pool;
+        this.request = request;
+        this.route = route;
+        this.service = service;
+    }
+
+    /** Returns the best upstream, one that has not failed this request if there is any, or null. */
+    @Nullable
+    InstanceState choose(Set<String> failedIds) {
+        long now = context.clock().nowMillis();
+        return context.choice().choose(context.state().instances(), service, failedIds, now);
+    }
+
+    /** Returns whether an upstream that holds a copy of the run may be asked to go on. */
+    boolean isUsableCopy(InstanceState copy) {
+        long now = context.clock().nowMillis();
+        return copy.isListed(now) && !copy.isEjected(now);
+    }
+
+    /** Returns the upstream that keeps a copy of a run on the target, or null. */
+    @Nullable
+    InstanceState chooseBackup(InstanceState target) {
+        if (!service.keepsBackups() || !route.repeatRule().continuesStream()) {
+            return null;
+        }
+        return context.choice()
+                .chooseBackup(
+                        context.state().instances(),
+                        service,
+                        target.instance(),
+                        request.caller().totalTokens(),
+                        context.clock().nowMillis());
+    }
+
+    /** Hands over a connection to the attempt's upstream, or null if there is none. */
+    void connect(Attempt attempt, Consumer<@Nullable UpstreamConnection> consumer) {
+        UpstreamConnection idle = pool.takeIdle(attempt.instance());
+        if (idle != null) {
+            consumer.accept(idle);
+        } else {
+            pool.open(attempt.instance(), consumer);
+        }
+    }
+
+    /** Returns the message for an attempt. */
+    FullHttpRequest message(Attempt attempt, long remainingMillis, long lastEventId) {
+        UpstreamInstance instance = attempt.instance();
+        InstanceState backup = attempt.backup();
+        UpstreamCall call = new UpstreamCall(
+                request.id(),
+                instance,
+                remainingMillis,
+                request.organisation(),
+                lastEventId,
+                request.body().length,
+                backup == null ? null : backup.instance(),
+                attempt.resumesFromCopy() ? instance.address() : null);
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.target(),
+                Unpooled.wrappedBuffer(request.body()),
+                context.codec().encodeCall(request.headers(), call),
+                EmptyHttpHeaders.INSTANCE);
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptWatch.java
@@ -0,0 +1,28 @@
+package io.laburnummoor.gateway.request;
+
+/** Watches the running attempt of one request for silence; each implementation stands for one kind of request. */
+interface AttemptWatch {
+    /** Watches nothing: a request that runs at most once waits for its answer until the deadline. */
+    AttemptWatch NONE = new AttemptWatch() {
+        @Override
+        public void started(Attempt attempt) {}
+
+        @Override
+        public void stop() {}
+    };
+
+    /** A new attempt is the one to watch. */
+    void started(Attempt attempt);
+
+    /** The request has ended. */
+    void stop();
+
+    /** Hears what a watch finds. */
+    interface Listener {
+        /** The attempt must be given up. */
+        void onSilent(Attempt attempt, String cause);
+
+        /** The attempt has taken so long that a second one may start beside it. */
+        void onHedgeDue(Attempt attempt);
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CallerExchange.java
@@ -0,0 +1,28 @@
+package io.laburnummoor.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** The caller's side of one request. All methods are called on the connection's event loop. */
+public interface CallerExchange {
+    /** Sends a whole answer of an upstream and ends the exchange. */
+    void answerWhole(int status, HttpHeaders headers, ByteBuf body);
+
+    /** Sends an answer of the gateway itself and ends the exchange. */
+    void answerOwn(OwnAnswer answer);
+
+    /** Sends the head of a stream. */
+    void beginStream(int status, HttpHeaders headers);
+
+    /** Sends events of a stream. */
+    void writeEvents(ByteBuf events);
+
+    /** Marks the stream as complete and ends the exchange. */
+    void endStream();
+
+    /** Closes the connection so that the answer cannot look complete. */
+    void abort();
+
+    /** Returns whether more events can be written without piling up. */
+    boolean isWritable();
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -0,0 +1,436 @@
+package io.laburnummoor.gateway.request;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.request.AttemptFate;
+import io.laburnummoor.core.request.AttemptLedger;
+import io.laburnummoor.core.version.ForwardRoute;
+import io.laburnummoor.core.version.ForwardService;
+import io.laburnummoor.gateway.connection.EventFramer;
+import io.laburnummoor.gateway.connection.UpstreamConnection;
+import io.laburnummoor.gateway.connection.UpstreamPool;
+import io.laburnummoor.gateway.process.GatewayContext;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One forwarded request from its admission to its final answer: starts attempts, passes on the answer, and goes on at
+ * another upstream after a loss where the route allows it. Confined to the event loop of the caller's connection.
+ */
+public final class ForwardSession implements AttemptWatch.Listener {
+    /** Connections are not used in the last moments before the upstream closes them. */
+    private static final long IDLE_MARGIN_MILLIS = 500;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+    /** Less time than this is not worth another attempt. */
+    private static final long MIN_REMAINING_MILLIS = 20;
+
+    private static final long RETRY_AFTER_FULL_MILLIS = 150;
+    private static final long RETRY_AFTER_NO_UPSTREAM_MILLIS = 400;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int OK = 200;
+    private static final long NOT_LOST = -1;
+
+    private final GatewayContext context;
+    private final CallerExchange exchange;
+    private final ForwardRequest request;
+    private final ForwardRoute route;
+    private final ForwardService service;
+    private final AttemptLauncher launcher;
+    private final AttemptWatch watch;
+    private final AttemptLedger ledger;
+    private final RequestTrace trace;
+    private final Set<String> failedIds = new HashSet<>();
+    private final long deadlineMillis;
+    private final ScheduledFuture<?> deadlineTimer;
+
+    private @Nullable Attempt current;
+    private @Nullable Attempt hedge;
+    private @Nullable InstanceState copy;
+    private @Nullable UpstreamAnswer failure;
+    private long lastEventId;
+    private long lastEventMillis;
+    private long lostMillis = NOT_LOST;
+    private boolean streamBegun;
+    private boolean done;
+
+    /** Creates a session and counts it as open. */
+    public ForwardSession(
+            GatewayContext context,
+            EventLoop loop,
+            UpstreamPool pool,
+            CallerExchange exchange,
+            ForwardRequest request,
+            ForwardRoute route,
+            ForwardService service) {
+        this.context = context;
+        this.exchange = exchange;
+        this.request = request;
+        this.route = route;
+        this.service = service;
+        this.launcher = new AttemptLauncher(context, pool, request, route, service);
+        this.watch = watchFor(context, loop, pool, route, this);
+        this.ledger = new AttemptLedger(route.repeatRule(), route.maxUpstreams());
+        this.trace = new RequestTrace(context, request, route, service.name());
+        long callerMillis = request.caller().deadlineMillis();
+        long waitMillis = callerMillis == 0 ? route.timeoutMillis() : Math.min(callerMillis, route.timeoutMillis());
+        this.deadlineMillis = request.arrivedMillis() + waitMillis;
+        this.lastEventId = request.caller().lastEventId();
+        this.lastEventMillis = request.arrivedMillis();
+        this.deadlineTimer = loop.schedule(this::onDeadline, remaining(), TimeUnit.MILLISECONDS);
+        context.state().requestOpened();
+    }
+
+    private static AttemptWatch watchFor(
+            GatewayContext context,
+            EventLoop loop,
+            UpstreamPool pool,
+            ForwardRoute route,
+            AttemptWatch.Listener listener) {
+        if (!route.repeatRule().repeatsAfterRun()) {
+            return AttemptWatch.NONE;
+        }
+        return route.streaming()
+                ? new StreamWatch(loop, context.clock(), pool, context.pace(), route, listener)
+                : new HedgeWatch(loop, route.goalMillis(), listener);
+    }
+
+    /** Starts the first attempt. */
+    public void start() {
+        context.budget().recordRequest(service.name(), now());
+        launch("first", false);
+    }
+
+    /** The caller has left: all work for it ends. */
+    public void callerGone() {
+        if (!done) {
+            finish("caller_gone", 0);
+        }
+    }
+
+    /** The caller's connection accepts more bytes, or no more for now. */
+    public void writabilityChanged(boolean writable) {
+        if (current != null) {
+            current.setReading(writable);
+        }
+    }
+
+    private long now() {
+        return context.clock().nowMillis();
+    }
+
+    private long remaining() {
+        return Math.max(0, deadlineMillis - now());
+    }
+
+    private void launch(String reason, boolean asHedge) {
+        InstanceState kept = asHedge ? null : copy;
+        copy = null;
+        boolean fromCopy = kept != null && launcher.isUsableCopy(kept);
+        InstanceState target = fromCopy ? kept : launcher.choose(failedIds);
+        if (target == null) {
+            if (!asHedge) {
+                giveUp("no_upstream", RETRY_AFTER_NO_UPSTREAM_MILLIS);
+            }
+            return;
+        }
+        Attempt attempt = new Attempt(
+                this,
+                context.codec(),
+                target,
+                launcher.chooseBackup(target),
+                fromCopy,
+                ledger.open(target.instance().id()),
+                request.caller().totalTokens(),
+                now());
+        if (asHedge) {
+            hedge = attempt;
+        } else {
+            current = attempt;
+            watch.started(attempt);
+        }
+        trace.chosen(attempt, reason, lastEventId);
+        launcher.connect(attempt, connection -> connected(attempt, connection));
+    }
+
+    private void connected(Attempt attempt, @Nullable UpstreamConnection connection) {
+        if (attempt.hasEnded() || done) {
+            if (connection != null) {
+                connection.cancel();
+            }
+        } else if (connection == null) {
+            onUnreachable(attempt, "no connection");
+        } else if (!attempt.target().isListed(now())) {
+            connection.cancel();
+            onUnreachable(attempt, "no longer listed");
+        } else {
+            ledger.record(attempt.number(), AttemptFate.SENT);
+            attempt.send(connection, launcher.message(attempt, remaining(), lastEventId));
+        }
+    }
+
+    /** Returns whether an answer belongs to this request. */
+    boolean isOwnAnswer(AnswerHead answer) {
+        return request.id().equals(answer.attemptId());
+    }
+
+    boolean isStreaming() {
+        return route.streaming();
+    }
+
+    long nowMillis() {
+        return now();
+    }
+
+    long usableIdleMillis(int idleSeconds) {
+        return Math.max(0, idleSeconds * MILLIS_PER_SECOND - IDLE_MARGIN_MILLIS);
+    }
+
+    void onEvent(Attempt attempt, AnswerHead answer, HttpHeaders headers, EventFramer.Event event) {
+        boolean numbered = event.id() != EventFramer.Event.NO_ID;
+        if (numbered && lastEventId > 0 && event.id() != lastEventId + 1) {
+            attempt.cancel();
+            onLost(attempt, "event " + event.id() + " after " + lastEventId);
+            return;
+        }
+        long now = now();
+        if (!streamBegun) {
+            streamBegun = true;
+            exchange.beginStream(answer.status(), context.codec().encodeAnswer(headers));
+            trace.begun();
+            if (attempt.target().inFlightCount() == 1 && ledger.attemptCount() == 1) {
+                context.pace().record(request.caller().promptTokens(), now - attempt.startedMillis());
+            }
+        }
+        if (lostMillis != NOT_LOST) {
+            trace.resumed(attempt, lastEventId, now - lastEventMillis, now - lostMillis);
+            lostMillis = NOT_LOST;
+        }
+        lastEventId = numbered ? event.id() : lastEventId;
+        lastEventMillis = now;
+        exchange.writeEvents(Unpooled.wrappedBuffer(event.bytes()));
+        if (!exchange.isWritable()) {
+            attempt.setReading(false);
+        }
+    }
+
+    void onStreamEnd(Attempt attempt) {
+        if (!streamBegun) {
+            onLost(attempt, "stream without events");
+            return;
+        }
+        attempt.end();
+        ledger.record(attempt.number(), AttemptFate.ANSWERED);
+        attempt.target().recordSuccess();
+        trace.attemptEnded("answered");
+        exchange.endStream();
+        finish("answered", OK);
+    }
+
+    void onWholeAnswer(Attempt attempt, AnswerHead answer, HttpHeaders headers, ByteBuf body) {
+        attempt.end();
+        if (answer.notExecuted()) {
+            body.release();
+            onNotExecuted(attempt, answer);
+            return;
+        }
+        ledger.record(attempt.number(), AttemptFate.ANSWERED);
+        UpstreamAnswer whole = new UpstreamAnswer(answer, headers, body);
+        if (answer.isSuccess()) {
+            attempt.target().recordSuccess();
+            trace.attemptEnded("answered");
+            trace.begun();
+            deliver(whole);
+        } else {
+            onUpstreamError(attempt, whole);
+        }
+    }
+
+    private void onUpstreamError(Attempt attempt, UpstreamAnswer whole) {
+        int status = whole.head().status();
+        attempt.target().recordError();
+        trace.upstreamError(attempt, status);
+        failedIds.add(attempt.instance().id());
+        replaceFailure(whole);
+        boolean repeats = status >= FIRST_SERVER_ERROR && route.repeatRule().repeatsAfterUpstreamFailure();
+        goOn(attempt, "upstream_error", repeats, 0);
+    }
+
+    private void onNotExecuted(Attempt attempt, AnswerHead answer) {
+        ledger.record(attempt.number(), AttemptFate.NOT_EXECUTED);
+        trace.refused(attempt, answer.status());
+        if (answer.wrongInstance()) {
+            attempt.target().recordGone(now());
+            ledger.recordEnded(attempt.instance().id());
+        } else if (!attempt.resumesFromCopy()) {
+            attempt.target().recordFull(now());
+            failedIds.add(attempt.instance().id());
+        }
+        goOn(attempt, "not_executed", true, RETRY_AFTER_FULL_MILLIS);
+    }
+
+    private void onUnreachable(Attempt attempt, String cause) {
+        attempt.end();
+        recordLoss(attempt, cause);
+        ledger.recordEnded(attempt.instance().id());
+        if (isOtherRunning(attempt)) {
+            return;
+        }
+        if (remaining() > MIN_REMAINING_MILLIS && ledger.mayRepeat()) {
+            launch("unreachable", false);
+        } else {
+            giveUp("no_upstream", RETRY_AFTER_NO_UPSTREAM_MILLIS);
+        }
+    }
+
+    void onLost(Attempt attempt, String cause) {
+        attempt.end();
+        if (done) {
+            return;
+        }
+        ledger.record(attempt.number(), AttemptFate.UNKNOWN);
+        recordLoss(attempt, cause);
+        if (attempt == current) {
+            copy = attempt.backup();
+            lostMillis = now();
+        }
+        boolean continues = !streamBegun || route.repeatRule().continuesStream();
+        goOn(attempt, "lost", continues, 0);
+    }
+
+    private void recordLoss(Attempt attempt, String cause) {
+        UpstreamInstance instance = attempt.instance();
+        long now = now();
+        failedIds.add(instance.id());
+        long until = attempt.target().recordFailure(now);
+        context.losses().record(service.name(), instance.failureDomain(), instance.id(), now);
+        boolean suspect = context.losses().isSuspect(service.name(), instance.failureDomain(), now);
+        trace.lost(attempt, cause, ledger.fate(attempt.number()), until - now, suspect);
+    }
+
+    /** Starts another attempt after one has ended without an answer for the caller, or gives up. */
+    private void goOn(Attempt ended, String reason, boolean repeats, long retryAfterMillis) {
+        if (isOtherRunning(ended)) {
+            return;
+        }
+        if (repeats && mayRepeatNow()) {
+            launch(reason, false);
+        } else {
+            giveUp(reason, retryAfterMillis);
+        }
+    }
+
+    /** Makes the other attempt of a hedged call the current one; returns whether there is one. */
+    private boolean isOtherRunning(Attempt ended) {
+        if (ended == hedge) {
+            hedge = null;
+        } else if (ended == current) {
+            current = hedge;
+            hedge = null;
+        }
+        return current != null && !current.hasEnded();
+    }
+
+    private boolean mayRepeatNow() {
+        return remaining() > MIN_REMAINING_MILLIS
+                && ledger.mayRepeat()
+                && context.budget().tryRepeat(service.name(), now());
+    }
+
+    @Override
+    public void onHedgeDue(Attempt attempt) {
+        if (!done && hedge == null && attempt == current && mayRepeatNow()) {
+            failedIds.add(attempt.instance().id());
+            launch("hedge", true);
+        }
+    }
+
+    @Override
+    public void onSilent(Attempt attempt, String cause) {
+        if (done || attempt != current) {
+            return;
+        }
+        if (!exchange.isWritable()) {
+            // The caller does not read, so the upstream's silence is the router's own doing.
+            attempt.recordSign(now());
+            watch.started(attempt);
+            return;
+        }
+        attempt.cancel();
+        onLost(attempt, cause);
+    }
+
+    private void onDeadline() {
+        if (!done) {
+            giveUp("deadline_exceeded", 0);
+        }
+    }
+
+    /** Ends the request with the best answer that is true. */
+    private void giveUp(String code, long retryAfterMillis) {
+        if (streamBegun) {
+            exchange.abort();
+            finish(code, 0);
+            return;
+        }
+        UpstreamAnswer known = failure;
+        if (known != null && known.mayBePassedOn(route.repeatRule())) {
+            failure = null;
+            deliver(known);
+            return;
+        }
+        OwnAnswer answer = ownAnswer(code, retryAfterMillis);
+        exchange.answerOwn(answer);
+        finish(code, answer.status());
+    }
+
+    private OwnAnswer ownAnswer(String code, long retryAfterMillis) {
+        if (ledger.mayPromiseNotRun()) {
+            return OwnAnswer.notRun(code, retryAfterMillis);
+        }
+        return remaining() == 0 ? OwnAnswer.timedOut() : OwnAnswer.upstreamLost(code);
+    }
+
+    private void deliver(UpstreamAnswer whole) {
+        int status = whole.head().status();
+        exchange.answerWhole(status, context.codec().encodeAnswer(whole.headers()), whole.body());
+        finish("answered", status);
+    }
+
+    private void replaceFailure(UpstreamAnswer whole) {
+        if (failure != null) {
+            failure.body().release();
+        }
+        failure = whole;
+    }
+
+    private void finish(String outcome, int status) {
+        done = true;
+        deadlineTimer.cancel(false);
+        watch.stop();
+        stop(current);
+        stop(hedge);
+        current = null;
+        hedge = null;
+        if (failure != null) {
+            failure.body().release();
+            failure = null;
+        }
+        context.state().requestClosed();
+        trace.ended(outcome, status, ledger.attemptCount(), lastEventId, remaining());
+    }
+
+    private static void stop(@Nullable Attempt attempt) {
+        if (attempt != null && !attempt.hasEnded()) {
+            attempt.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeWatch.java
@@ -0,0 +1,43 @@
+package io.laburnummoor.gateway.request;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jspecify.annotations.Nullable;
+
+/** Watches an idempotent call: a second upstream is asked when the first has used a part of the goal. */
+final class HedgeWatch implements AttemptWatch {
+    private static final double HEDGE_SHARE = 0.5;
+
+    private final EventLoop loop;
+    private final long hedgeAfterMillis;
+    private final Listener listener;
+    private @Nullable ScheduledFuture<?> timer;
+
+    HedgeWatch(EventLoop loop, long goalMillis, Listener listener) {
+        this.loop = loop;
+        this.hedgeAfterMillis = Math.round(goalMillis * HEDGE_SHARE);
+        this.listener = listener;
+    }
+
+    @Override
+    public void started(Attempt attempt) {
+        stop();
+        timer = loop.schedule(
+                () -> {
+                    if (!attempt.hasEnded()) {
+                        listener.onHedgeDue(attempt);
+                    }
+                },
+                hedgeAfterMillis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -0,0 +1,117 @@
+package io.laburnummoor.gateway.request;
+
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.request.AttemptFate;
+import io.laburnummoor.core.version.ForwardRoute;
+import io.laburnummoor.gateway.process.GatewayContext;
+
+/** Writes the log lines and counts the metrics of one request. */
+final class RequestTrace {
+    private final GatewayContext context;
+    private final ForwardRequest request;
+    private final ForwardRoute route;
+    private final String service;
+
+    RequestTrace(GatewayContext context, ForwardRequest request, ForwardRoute route, String service) {
+        this.context = context;
+        this.request = request;
+        this.route = route;
+        this.service = service;
+    }
+
+    void chosen(Attempt attempt, String reason, long afterEvent) {
+        InstanceState target = attempt.target();
+        UpstreamInstance instance = target.instance();
+        InstanceState backup = attempt.backup();
+        long now = now();
+        context.log()
+                .line("upstream_chosen")
+                .text("request", request.id())
+                .text("reason", reason)
+                .text("upstream", instance.id())
+                .text("failure_domain", instance.failureDomain())
+                .text("backup", backup == null ? null : backup.instance().id())
+                .flag("from_copy", attempt.resumesFromCopy())
+                .number("own_in_flight", target.inFlightCount())
+                .number("estimated_load", target.estimatedLoad(now))
+                .number("load_age_ms", target.loadAgeMillis(now))
+                .number("after_event", afterEvent)
+                .write();
+    }
+
+    void lost(Attempt attempt, String cause, AttemptFate fate, long ejectedMillis, boolean domainSuspect) {
+        context.metrics().attemptEnded(service, fate == AttemptFate.NOT_SENT ? "unreachable" : "lost");
+        context.log()
+                .line("attempt_lost")
+                .text("request", request.id())
+                .text("upstream", attempt.instance().id())
+                .text("cause", cause)
+                .text("fate", fate.name())
+                .number("age_ms", now() - attempt.startedMillis())
+                .number("ejected_ms", ejectedMillis)
+                .flag("domain_suspect", domainSuspect)
+                .write();
+    }
+
+    void refused(Attempt attempt, int status) {
+        attemptEnded("not_executed");
+        answered(attempt, "not_executed", status);
+    }
+
+    void upstreamError(Attempt attempt, int status) {
+        attemptEnded("upstream_error");
+        answered(attempt, "upstream_error", status);
+    }
+
+    private void answered(Attempt attempt, String event, int status) {
+        context.log()
+                .line(event)
+                .text("request", request.id())
+                .text("upstream", attempt.instance().id())
+                .number("status", status)
+                .number("age_ms", now() - attempt.startedMillis())
+                .write();
+    }
+
+    void attemptEnded(String result) {
+        context.metrics().attemptEnded(service, result);
+    }
+
+    void begun() {
+        context.metrics().answered(route.name(), now() - request.arrivedMillis());
+    }
+
+    void resumed(Attempt attempt, long afterEvent, long pauseMillis, long sinceLossMillis) {
+        context.metrics().resumed(pauseMillis);
+        context.log()
+                .line("stream_resumed")
+                .text("request", request.id())
+                .text("upstream", attempt.instance().id())
+                .flag("from_copy", attempt.resumesFromCopy())
+                .number("after_event", afterEvent)
+                .number("pause_ms", pauseMillis)
+                .number("since_loss_ms", sinceLossMillis)
+                .write();
+    }
+
+    void ended(String outcome, int status, int attempts, long lastEvent, long remainingMillis) {
+        context.metrics().requestEnded(route.name(), status);
+        context.log()
+                .line("request_ended")
+                .text("request", request.id())
+                .text("route", route.name())
+                .text("organisation", request.organisation())
+                .text("outcome", outcome)
+                .number("status", status)
+                .number("attempts", attempts)
+                .number("last_event", lastEvent)
+                .number("duration_ms", now() - request.arrivedMillis())
+                .number("remaining_ms", remainingMillis)
+                .write();
+    }
+
+    private long now() {
+        return context.clock().nowMillis();
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamWatch.java
@@ -0,0 +1,142 @@
+package io.laburnummoor.gateway.request;
+
+import java.util.concurrent.TimeUnit;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.process.PromptPace;
+import io.laburnummoor.core.version.ForwardRoute;
+import io.laburnummoor.gateway.connection.UpstreamPool;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Watches a stream that may be resumed. Between events, silence alone counts. Before the first event the engine reads
+ * the prompt and is silent anyway, so that new connections to it show whether it still lives.
+ */
+final class StreamWatch implements AttemptWatch {
+    private static final long DEFAULT_MAX_PAUSE_MILLIS = 2_000;
+    /** Part of the longest pause after which a silent stream is continued elsewhere; the rest is for the resumption. */
+    private static final double SILENCE_SHARE = 0.5;
+    /** Part of the goal that the first event may take before another upstream is tried. */
+    private static final double FIRST_EVENT_SHARE = 0.6;
+
+    private static final long FIRST_EVENT_SLACK_MILLIS = 600;
+    /** Multiple of the expected reading time of the engine's prompts that is waited for. */
+    private static final int FIRST_EVENT_FACTOR = 2;
+    /** Time without a sign of life after which a connection is tried. */
+    private static final long PROBE_AFTER_MILLIS = 250;
+    /** Two lost packets in a row are unlikely on a link that works. */
+    private static final int DEAD_AFTER_PROBES = 2;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final UpstreamPool pool;
+    private final PromptPace pace;
+    private final ForwardRoute route;
+    private final Listener listener;
+    private @Nullable Attempt watched;
+    private @Nullable ScheduledFuture<?> timer;
+    private int failedProbes;
+    private boolean probing;
+    private boolean firstEventGivenUp;
+
+    StreamWatch(
+            EventLoop loop, Clock clock, UpstreamPool pool, PromptPace pace, ForwardRoute route, Listener listener) {
+        this.loop = loop;
+        this.clock = clock;
+        this.pool = pool;
+        this.pace = pace;
+        this.route = route;
+        this.listener = listener;
+    }
+
+    @Override
+    public void started(Attempt attempt) {
+        watched = attempt;
+        failedProbes = 0;
+        probing = false;
+        schedule(Math.min(PROBE_AFTER_MILLIS, silenceMillis()));
+    }
+
+    @Override
+    public void stop() {
+        watched = null;
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    private void schedule(long delayMillis) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timer = loop.schedule(this::check, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+    }
+
+    private void check() {
+        Attempt attempt = watched;
+        if (attempt == null || attempt.hasEnded()) {
+            return;
+        }
+        long now = clock.nowMillis();
+        if (attempt.hasEvents() || attempt.resumesFromCopy()) {
+            long silentMillis = now - attempt.lastSignMillis();
+            if (silentMillis < silenceMillis()) {
+                schedule(silenceMillis() - silentMillis);
+            } else {
+                giveUp(attempt, "silent");
+            }
+        } else {
+            checkBeforeFirstEvent(attempt, now);
+        }
+    }
+
+    private void checkBeforeFirstEvent(Attempt attempt, long now) {
+        if (!firstEventGivenUp && now - attempt.startedMillis() >= firstEventMillis(attempt)) {
+            firstEventGivenUp = true;
+            giveUp(attempt, "no first event");
+            return;
+        }
+        long quietMillis =
+                now - Math.max(attempt.startedMillis(), attempt.target().lastSeenMillis());
+        if (quietMillis >= PROBE_AFTER_MILLIS && !probing) {
+            probe(attempt);
+        }
+        schedule(PROBE_AFTER_MILLIS);
+    }
+
+    private void probe(Attempt attempt) {
+        probing = true;
+        pool.probe(attempt.instance(), alive -> {
+            if (watched != attempt || attempt.hasEnded() || attempt.hasEvents()) {
+                return;
+            }
+            probing = false;
+            failedProbes = alive ? 0 : failedProbes + 1;
+            if (alive) {
+                attempt.target().recordSeen(clock.nowMillis());
+            } else if (failedProbes >= DEAD_AFTER_PROBES) {
+                giveUp(attempt, "no connection while the prompt is read");
+            } else {
+                probe(attempt);
+            }
+        });
+    }
+
+    private void giveUp(Attempt attempt, String cause) {
+        watched = null;
+        listener.onSilent(attempt, cause);
+    }
+
+    private long silenceMillis() {
+        long pause = route.maxPauseMillis() == 0 ? DEFAULT_MAX_PAUSE_MILLIS : route.maxPauseMillis();
+        return Math.round(pause * SILENCE_SHARE);
+    }
+
+    private long firstEventMillis(Attempt attempt) {
+        long expected = FIRST_EVENT_FACTOR * pace.millisFor(attempt.target().promptTokens());
+        return Math.min(Math.round(route.goalMillis() * FIRST_EVENT_SHARE), FIRST_EVENT_SLACK_MILLIS + expected);
+    }
+}
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -0,0 +1,291 @@
+package io.laburnummoor.gateway.version;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.process.ChangeFeed;
+import io.laburnummoor.core.process.ConfigFreshness;
+import io.laburnummoor.core.process.InstanceTable;
+import io.laburnummoor.core.version.ForwardConfig;
+import io.laburnummoor.gateway.process.DecisionLog;
+import io.laburnummoor.gateway.process.GatewayMetrics;
+import io.laburnummoor.gateway.process.GatewayState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows the platform's key-value service on one thread and publishes the configuration and the list of upstreams.
+ * The one loop for all keys costs one call each interval, however many keys change.
+ */
+public final class StoreFollower implements Service {
+    /** Pause between two calls; with the call itself it bounds the age of what is known. */
+    private static final long PAUSE_MILLIS = 350;
+    /** Longest wait inside a call; also the longest time between two proofs that the configuration is in force. */
+    private static final long WAIT_MILLIS = 600;
+
+    private static final long RETRY_MILLIS = 250;
+    /** Time after the store's return in which live upstreams that lapsed meanwhile are listed again. */
+    private static final long RELIST_MILLIS = 2_300;
+
+    private final ChangeFeed feed;
+    private final StoreDocuments documents;
+    private final GatewayState state;
+    private final ConfigFreshness freshness;
+    private final DecisionLog log;
+    private final GatewayMetrics metrics;
+    private final Clock clock;
+    private final Thread thread;
+    private final Map<String, InstanceState> instances = new HashMap<>();
+    private final Map<String, Long> lapsedAtMillis = new HashMap<>();
+    private boolean connected;
+    private long disturbedAtMillis = Long.MIN_VALUE / 2;
+    private long version = -1;
+    private volatile boolean stopping;
+
+    /** Creates a follower. */
+    public StoreFollower(
+            ChangeFeed feed,
+            StoreDocuments documents,
+            GatewayState state,
+            ConfigFreshness freshness,
+            DecisionLog log,
+            GatewayMetrics metrics,
+            Clock clock) {
+        this.feed = feed;
+        this.documents = documents;
+        this.state = state;
+        this.freshness = freshness;
+        this.log = log;
+        this.metrics = metrics;
+        this.clock = clock;
+        this.thread = new Thread(this::run, "store");
+        this.thread.setDaemon(true);
+    }
+
+    @Override
+    public void start() {
+        thread.start();
+    }
+
+    @Override
+    public void stop() {
+        stopping = true;
+        thread.interrupt();
+    }
+
+    private void run() {
+        while (!stopping) {
+            long pause = PAUSE_MILLIS;
+            try {
+                step();
+            } catch (LaburnummoorException failure) {
+                pause = RETRY_MILLIS;
+                storeFailed(failure);
+            } catch (RuntimeException fault) {
+                pause = RETRY_MILLIS;
+                version = -1;
+                log.line("store_follower_fault").text("error", fault.toString()).write();
+            }
+            dropLapsed();
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pause));
+        }
+    }
+
+    private void step() {
+        ConfigFreshness.Proof begun = freshness.beginCall();
+        ChangeFeed.Batch batch = version < 0 ? null : feed.changesAfter("", version, WAIT_MILLIS);
+        if (batch == null) {
+            readAll();
+        } else {
+            apply(batch.changes());
+            version = batch.version();
+        }
+        metrics.storeCall(true);
+        freshness.confirm(begun);
+        if (!connected) {
+            connected = true;
+            log.line("store_connected").number("store_version", version).write();
+        }
+    }
+
+    private void readAll() {
+        if (version >= 0) {
+            log.line("store_history_lost").number("store_version", version).write();
+            disturbedAtMillis = clock.nowMillis();
+        }
+        version = -1;
+        ChangeFeed.Batch config = feed.readAll(documents.configPrefix());
+        ChangeFeed.Batch listed = feed.readAll(documents.instancePrefix());
+        apply(config.changes());
+        Map<String, InstanceState> before = new HashMap<>(instances);
+        apply(listed.changes());
+        listed.changes().forEach(each -> before.remove(each.key()));
+        before.keySet().forEach(this::removeInstance);
+        publish();
+        version = Math.min(config.version(), listed.version());
+    }
+
+    private void storeFailed(LaburnummoorException failure) {
+        metrics.storeCall(false);
+        disturbedAtMillis = clock.nowMillis();
+        if (connected || version < 0) {
+            log.line("store_lost")
+                    .text("error", failure.getMessage())
+                    .number("store_version", version)
+                    .number("config_age_ms", freshness.ageMillis())
+                    .write();
+        }
+        connected = false;
+    }
+
+    private void apply(List<ChangeFeed.Change> changes) {
+        boolean listChanged = false;
+        for (ChangeFeed.Change each : changes) {
+            if (documents.isConfig(each.key())) {
+                applyConfig(each);
+            } else if (documents.isInstance(each.key())) {
+                listChanged |= applyInstance(each);
+            }
+        }
+        if (listChanged) {
+            publish();
+        }
+    }
+
+    private void applyConfig(ChangeFeed.Change change) {
+        String value = change.value();
+        ForwardConfig read = value == null ? null : documents.readConfig(value);
+        ForwardConfig before = state.config();
+        if (read == null || (before != null && read.version() < before.version())) {
+            log.line("config_ignored")
+                    .number("store_version", change.version())
+                    .number("config_version", read == null ? 0 : read.version())
+                    .write();
+            return;
+        }
+        state.replaceConfig(read);
+        log.line("config_in_force")
+                .number("config_version", read.version())
+                .number("store_version", change.version())
+                .write();
+    }
+
+    private boolean applyInstance(ChangeFeed.Change change) {
+        String value = change.value();
+        if (value == null) {
+            return removeInstance(change.key());
+        }
+        UpstreamInstance read = documents.readInstance(change.key(), value);
+        if (read == null) {
+            log.line("upstream_entry_ignored").text("key", change.key()).write();
+            return removeInstance(change.key());
+        }
+        lapsedAtMillis.remove(change.key());
+        InstanceState known = instances.get(change.key());
+        if (known != null && known.instance().isSameLife(read)) {
+            return updateInstance(known, read);
+        }
+        instances.put(change.key(), new InstanceState(read));
+        log.line("upstream_listed")
+                .text("upstream", read.id())
+                .text("service", read.service())
+                .text("failure_domain", read.failureDomain())
+                .flag("leaving", read.leaving())
+                .write();
+        return true;
+    }
+
+    private boolean updateInstance(InstanceState known, UpstreamInstance read) {
+        boolean nowLeaving = read.leaving() && !known.instance().leaving();
+        known.update(read);
+        known.recordBack();
+        if (nowLeaving) {
+            log.line("upstream_leaving").text("upstream", read.id()).write();
+        }
+        return false;
+    }
+
+    /** Takes an upstream off the list, or keeps it for a while if the store itself was disturbed. */
+    private boolean removeInstance(String key) {
+        InstanceState known = instances.get(key);
+        if (known == null) {
+            return false;
+        }
+        long now = clock.nowMillis();
+        boolean disturbed = now - disturbedAtMillis < RELIST_MILLIS;
+        if (disturbed && !known.instance().leaving()) {
+            lapsedAtMillis.putIfAbsent(key, now);
+            return false;
+        }
+        dropInstance(key, known, "unlisted");
+        return true;
+    }
+
+    private void dropInstance(String key, InstanceState known, String reason) {
+        instances.remove(key);
+        lapsedAtMillis.remove(key);
+        known.recordGone(clock.nowMillis());
+        log.line("upstream_gone")
+                .text("upstream", known.instance().id())
+                .text("reason", reason)
+                .write();
+    }
+
+    /** Drops upstreams that lapsed while the store was disturbed and did not come back. */
+    private void dropLapsed() {
+        if (!connected || lapsedAtMillis.isEmpty()) {
+            return;
+        }
+        long now = clock.nowMillis();
+        List<String> expired = new ArrayList<>();
+        lapsedAtMillis.forEach((key, since) -> {
+            if (now - Math.max(since, disturbedAtMillis) > RELIST_MILLIS) {
+                expired.add(key);
+            }
+        });
+        for (String key : expired) {
+            InstanceState known = instances.get(key);
+            if (known != null) {
+                dropInstance(key, known, "lapsed");
+            }
+        }
+        if (!expired.isEmpty()) {
+            publish();
+        }
+    }
+
+    private void publish() {
+        state.replaceInstances(new InstanceTable(List.copyOf(instances.values())));
+    }
+
+    /** Decodes the documents in the key-value service; the only place that knows their names. */
+    public interface StoreDocuments {
+        /** Returns the prefix under which operators write. */
+        String configPrefix();
+
+        /** Returns the prefix under which upstreams are listed. */
+        String instancePrefix();
+
+        /** Returns whether a key holds the configuration. */
+        boolean isConfig(String key);
+
+        /** Returns whether a key holds an upstream's entry. */
+        boolean isInstance(String key);
+
+        /** Decodes a configuration, or returns null if it cannot be read. */
+        @Nullable
+        ForwardConfig readConfig(String value);
+
+        /** Decodes an upstream's entry, or returns null if it names no upstream to use. */
+        @Nullable
+        UpstreamInstance readInstance(String key, String value);
+    }
+}
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MappingIterator;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import io.laburnummoor.core.Service;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPost;
@@ -126,6 +127,23 @@
         client.close(CloseMode.GRACEFUL);
     }
 
+    /**
+     * Sends a request and returns the answer whatever its status.
+     *
+     * @param body JSON document to send, or null
+     */
+    public Reply exchange(String method, URI address, @Nullable JsonNode body) throws IOException {
+        HttpUriRequestBase request = new HttpUriRequestBase(method, address);
+        if (body != null) {
+            request.setEntity(new StringEntity(body.toString(), ContentType.APPLICATION_JSON));
+        }
+        return client.execute(request, response -> {
+            String text = response.getEntity() == null ? "" : EntityUtils.toString(response.getEntity());
+            boolean success = response.getCode() == HttpStatus.SC_OK;
+            return new Reply(response.getCode(), success ? mapper.readTree(text) : MissingNode.getInstance());
+        });
+    }
+
     private JsonNode execute(HttpUriRequestBase request) throws IOException {
         return client.execute(request, response -> {
             String text = EntityUtils.toString(response.getEntity());
@@ -136,6 +154,14 @@
         });
     }
 
+    /**
+     * An answer with any status.
+     *
+     * @param status HTTP status
+     * @param body document of a success; missing otherwise
+     */
+    public record Reply(int status, JsonNode body) {}
+
     /**
      * Reads one document of a streamed answer.
      *
