Let routers tell each other what they use of the engines

Ruled out: dead engines (connections to them succeeded); asking engines for reports (dear, and old when they arrive). Change: LoadExchange and PeerLoads; routers register under a lease. The copy is asked for only after a first event, as engines copy from then on.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -88,6 +88,11 @@
         return promptTokens.get();
     }
 
+    /** Returns what this router uses of the upstream. */
+    public UpstreamLoad ownLoad() {
+        return new UpstreamLoad(inFlightCount.get(), promptTokens.get(), heldTokens.get());
+    }
+
     /** Records the load that the upstream told with an answer. */
     public void recordLoad(int running, int waiting, long nowMillis) {
         load.set(new Load(running, waiting, nowMillis, inFlightCount.get()));
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/RouterLoad.java
@@ -0,0 +1,23 @@
+package io.laburnummoor.core.connection;
+
+import java.util.Map;
+
+/**
+ * What one router uses of all upstreams, as it told last.
+ *
+ * @param router name of the router
+ * @param incarnation differs for each life of the router's process
+ * @param sequence increases with each message of one life
+ * @param loadById loads by upstream id; upstreams that are missing are unused by the router
+ */
+public record RouterLoad(String router, long incarnation, long sequence, Map<String, UpstreamLoad> loadById) {
+    /** Copies the loads. */
+    public RouterLoad {
+        loadById = Map.copyOf(loadById);
+    }
+
+    /** Returns whether this is to replace what the router told before. */
+    public boolean isNewerThan(RouterLoad before) {
+        return incarnation != before.incarnation || sequence > before.sequence;
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceChoice.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceChoice.java
@@ -5,6 +5,7 @@
 
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.version.ForwardService;
 import org.jspecify.annotations.Nullable;
 
@@ -13,6 +14,9 @@
     /** Prompt tokens that weigh as much as one running request: reading them delays all runs of the engine. */
     private static final double PROMPT_TOKENS_PER_REQUEST = 2_000;
 
+    /** Held tokens that weigh as much as one running request in the choice of a backup. */
+    private static final double HELD_TOKENS_PER_REQUEST = 8_000;
+
     private static final double SUSPECT_DOMAIN_PENALTY = 100;
     private static final double EJECTED_PENALTY = 1_000;
     private static final double FULL_PENALTY = 50;
@@ -25,12 +29,14 @@
     private final String routerName;
     private final String failureDomain;
     private final DomainLosses losses;
+    private final PeerLoads peers;
 
     /** Creates a choice for one router. */
-    public InstanceChoice(String routerName, String failureDomain, DomainLosses losses) {
+    public InstanceChoice(String routerName, String failureDomain, DomainLosses losses, PeerLoads peers) {
         this.routerName = routerName;
         this.failureDomain = failureDomain;
         this.losses = losses;
+        this.peers = peers;
     }
 
     /**
@@ -56,6 +62,11 @@
         return best;
     }
 
+    /** Returns the prompt tokens that an upstream has yet to read for all routers, as far as known. */
+    public long promptTokens(InstanceState upstream) {
+        return upstream.promptTokens() + peers.of(upstream.instance().id()).promptTokens();
+    }
+
     /** Returns the upstream that keeps the copy of a run, in another failure domain, or null if there is none. */
     public @Nullable InstanceState chooseBackup(
             InstanceTable table, ForwardService service, UpstreamInstance primary, long tokens, long nowMillis) {
@@ -64,11 +75,12 @@
         List<InstanceState> candidates = table.ofService(service.name());
         for (InstanceState each : candidates) {
             UpstreamInstance instance = each.instance();
-            boolean hasRoom = service.cacheTokens() == 0 || each.heldTokens() + tokens <= service.cacheTokens();
+            long held = each.heldTokens() + peers.of(instance.id()).heldTokens();
+            boolean hasRoom = service.cacheTokens() == 0 || held + tokens <= service.cacheTokens();
             if (!each.isListed(nowMillis) || instance.failureDomain().equals(primary.failureDomain()) || !hasRoom) {
                 continue;
             }
-            double score = score(each, service, nowMillis) + each.heldTokens() / PROMPT_TOKENS_PER_REQUEST / 4;
+            double score = score(each, service, nowMillis) + held / HELD_TOKENS_PER_REQUEST;
             if (score < bestScore) {
                 best = each;
                 bestScore = score;
@@ -79,9 +91,10 @@
 
     private double score(InstanceState each, ForwardService service, long nowMillis) {
         UpstreamInstance instance = each.instance();
-        double score = each.estimatedLoad(nowMillis);
+        UpstreamLoad others = peers.of(instance.id());
+        double score = Math.max(each.estimatedLoad(nowMillis), each.inFlightCount() + others.inFlight());
         if (service.generates()) {
-            score += each.promptTokens() / PROMPT_TOKENS_PER_REQUEST;
+            score += (each.promptTokens() + others.promptTokens()) / PROMPT_TOKENS_PER_REQUEST;
         }
         score += each.failureShare() * FAILURE_SHARE_PENALTY;
         score += each.isEjected(nowMillis) ? EJECTED_PENALTY : 0;
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceChoiceTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceChoiceTest.java
@@ -25,10 +25,11 @@
     private static final ForwardService DRAFTER = new ForwardService("drafter", 210, true, 24, 88_000, true);
 
     private final DomainLosses losses = new DomainLosses();
+    private final PeerLoads peers = new PeerLoads();
     private final InstanceState sapporo = state("s-1", "sapporo", false);
     private final InstanceState asahikawa = state("a-1", "asahikawa", false);
     private final InstanceTable table = new InstanceTable(List.of(sapporo, asahikawa));
-    private final InstanceChoice choice = new InstanceChoice("router-1", "niseko", losses);
+    private final InstanceChoice choice = new InstanceChoice("router-1", "niseko", losses, peers);
 
     private static InstanceState state(String id, String domain, boolean leaving) {
         return new InstanceState(
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayContext.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayContext.java
@@ -18,6 +18,7 @@
  * @param freshness age of the configuration
  * @param choice choice of upstreams
  * @param losses losses of whole failure domains
+ * @param exchange what routers tell each other
  * @param budget retry budget
  * @param pace speed at which engines read prompts
  * @param codec translation of headers
@@ -31,6 +32,7 @@
         ConfigFreshness freshness,
         InstanceChoice choice,
         DomainLosses losses,
+        LoadExchange exchange,
         WindowedRetryBudget budget,
         PromptPace pace,
         ForwardCodec codec,
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -29,12 +29,18 @@
 
     private final GatewayContext context;
     private final Readiness readiness;
-    private final EventLoopGroup loops = new NioEventLoopGroup(EVENT_LOOPS, new DefaultThreadFactory("loop", true));
+    private final EventLoopGroup loops;
 
-    /** Creates a server. */
-    public GatewayServer(GatewayContext context, Readiness readiness) {
+    /** Creates a server on the process's event loops, which it ends at its stop. */
+    public GatewayServer(GatewayContext context, Readiness readiness, EventLoopGroup loops) {
         this.context = context;
         this.readiness = readiness;
+        this.loops = loops;
+    }
+
+    /** Returns the event loops of a process. */
+    public static EventLoopGroup newLoops() {
+        return new NioEventLoopGroup(EVENT_LOOPS, new DefaultThreadFactory("loop", true));
     }
 
     @Override
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewaySettings.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewaySettings.java
@@ -11,6 +11,7 @@
  * @param callerPort port for callers
  * @param readyPort port of the readiness answer
  * @param metricsPort port of the metrics
+ * @param exchangePort port for datagrams of other routers
  * @param storeAddress host and port of the platform's key-value service
  * @param revocationMillis time after which a withdrawn key must not be served
  * @param stopMillis time from the stop signal to the kill signal
@@ -23,6 +24,7 @@
         int callerPort,
         int readyPort,
         int metricsPort,
+        int exchangePort,
         String storeAddress,
         long revocationMillis,
         long stopMillis,
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -1,5 +1,6 @@
 package io.laburnummoor.gateway.process;
 
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -16,7 +17,7 @@
     private final Snapshot<InstanceTable> instances = new Snapshot<>(InstanceTable.EMPTY);
     private final AtomicBoolean draining = new AtomicBoolean();
     private final AtomicInteger openRequests = new AtomicInteger();
-    private final AtomicInteger routerCount = new AtomicInteger(1);
+    private final Snapshot<List<String>> peerAddresses = new Snapshot<>(List.of());
 
     /** Returns the configuration in force, or null if none is known. */
     public @Nullable ForwardConfig config() {
@@ -69,13 +70,18 @@
         return openRequests.get();
     }
 
-    /** Returns the number of routers that share the retry budget. */
-    public int routerCount() {
-        return routerCount.get();
+    /** Returns the addresses of the other routers for datagrams. */
+    public List<String> peerAddresses() {
+        return peerAddresses.get();
+    }
+
+    /** Replaces the addresses of the other routers. */
+    public void replacePeers(List<String> addresses) {
+        peerAddresses.replace(List.copyOf(addresses));
     }
 
-    /** Records the number of routers. */
-    public void replaceRouterCount(int count) {
-        routerCount.set(count);
+    /** Returns the number of routers that share the retry budget, this one included. */
+    public int routerCount() {
+        return peerAddresses.get().size() + 1;
     }
 }
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -0,0 +1,151 @@
+package io.laburnummoor.gateway.process;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.RouterLoad;
+import io.laburnummoor.core.connection.UpstreamLoad;
+import io.laburnummoor.core.process.PeerLoads;
+import io.laburnummoor.wire.connection.LoadCodec;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.apache.thrift.TException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tells the other routers what this one uses of the engines, so that routers that do not see each other's requests do
+ * not send prompts to the same engine. Messages hold the whole state and may be lost.
+ */
+public final class LoadExchange implements Service {
+    /** Changes within this time go into one message. */
+    private static final long COALESCE_MILLIS = 5;
+    /** Repeats the state, so that a lost message is made good and a dead router is noticed. */
+    private static final long REPEAT_MILLIS = 1_000;
+    /** Bounds the messages of one change; with more routers each tells only those that come first. */
+    private static final int MAX_PEERS = 32;
+    /** Keeps a message within one packet. */
+    private static final int MAX_LOADS = 48;
+
+    private final GatewaySettings settings;
+    private final GatewayState state;
+    private final PeerLoads peers;
+    private final DecisionLog log;
+    private final Clock clock;
+    private final EventLoop loop;
+    private final long incarnation = ThreadLocalRandom.current().nextLong();
+    private final AtomicBoolean sendPlanned = new AtomicBoolean();
+    private @Nullable Channel channel;
+    private long sequence;
+
+    /** Creates an exchange that uses one of the process's event loops. */
+    public LoadExchange(
+            GatewaySettings settings,
+            GatewayState state,
+            PeerLoads peers,
+            DecisionLog log,
+            Clock clock,
+            EventLoopGroup loops) {
+        this.settings = settings;
+        this.state = state;
+        this.peers = peers;
+        this.log = log;
+        this.clock = clock;
+        this.loop = loops.next();
+    }
+
+    @Override
+    public void start() {
+        channel = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .handler(new Receiver())
+                .bind(settings.host(), settings.exchangePort())
+                .syncUninterruptibly()
+                .channel();
+        loop.scheduleWithFixedDelay(this::repeat, REPEAT_MILLIS, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        Channel open = channel;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    /** The use of an engine has changed. May be called by any thread. */
+    public void changed() {
+        if (sendPlanned.compareAndSet(false, true)) {
+            loop.schedule(this::send, COALESCE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void repeat() {
+        peers.expire(clock.nowMillis());
+        send();
+    }
+
+    private void send() {
+        sendPlanned.set(false);
+        Channel open = channel;
+        List<String> addresses = state.peerAddresses();
+        if (open == null || addresses.isEmpty()) {
+            return;
+        }
+        try {
+            byte[] bytes = LoadCodec.encode(ownLoad());
+            for (String each : addresses.subList(0, Math.min(MAX_PEERS, addresses.size()))) {
+                int colon = each.lastIndexOf(':');
+                InetSocketAddress peer =
+                        new InetSocketAddress(each.substring(0, colon), Integer.parseInt(each.substring(colon + 1)));
+                open.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer), open.voidPromise());
+            }
+            open.flush();
+        } catch (TException failure) {
+            log.line("load_not_sent").text("error", failure.toString()).write();
+        }
+    }
+
+    private RouterLoad ownLoad() {
+        Map<String, UpstreamLoad> loads = new HashMap<>();
+        for (InstanceState each : state.instances().all()) {
+            UpstreamLoad load = each.ownLoad();
+            if (!load.isNone() && loads.size() < MAX_LOADS && each.heldTokens() > 0) {
+                loads.put(each.instance().id(), load);
+            }
+        }
+        return new RouterLoad(settings.name(), incarnation, ++sequence, loads);
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            try {
+                peers.record(LoadCodec.decode(ByteBufUtil.getBytes(packet.content())), clock.nowMillis());
+            } catch (TException malformed) {
+                log.line("load_not_read").text("error", malformed.toString()).write();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            log.line("load_exchange_error").text("error", cause.toString()).write();
+        }
+    }
+}
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -33,6 +33,7 @@
     private long lastSignMillis;
     private boolean streaming;
     private boolean promptRead;
+    private boolean eventSeen;
     private boolean ended;
 
     Attempt(
@@ -128,7 +129,7 @@
     }
 
     boolean hasEvents() {
-        return promptRead;
+        return eventSeen;
     }
 
     /** Returns when the last event arrived, or when the attempt started. */
@@ -207,6 +208,7 @@
         try {
             framer.add(content, event -> {
                 if (!ended) {
+                    eventSeen = true;
                     markPromptRead();
                     recordSign(session.nowMillis());
                     session.onEvent(this, answer, headers, event);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -66,6 +66,13 @@
                         context.clock().nowMillis());
     }
 
+    /** Tells the other routers that the use of an engine has changed. */
+    void loadChanged() {
+        if (service.generates()) {
+            context.exchange().changed();
+        }
+    }
+
     /** Hands over a connection to the attempt's upstream, or null if there is none. */
     void connect(Attempt attempt, Consumer<@Nullable UpstreamConnection> consumer) {
         UpstreamConnection idle = pool.takeIdle(attempt.instance());
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -99,7 +99,7 @@
             return AttemptWatch.NONE;
         }
         return route.streaming()
-                ? new StreamWatch(loop, context.clock(), pool, context.pace(), route, listener)
+                ? new StreamWatch(loop, context, pool, route, listener)
                 : new HedgeWatch(loop, route.goalMillis(), listener);
     }
 
@@ -158,6 +158,7 @@
             watch.started(attempt);
         }
         trace.chosen(attempt, reason, lastEventId);
+        launcher.loadChanged();
         launcher.connect(attempt, connection -> connected(attempt, connection));
     }
 
@@ -206,6 +207,7 @@
             streamBegun = true;
             exchange.beginStream(answer.status(), context.codec().encodeAnswer(headers));
             trace.begun();
+            launcher.loadChanged();
             if (attempt.target().inFlightCount() == 1 && ledger.attemptCount() == 1) {
                 context.pace().record(request.caller().promptTokens(), now - attempt.startedMillis());
             }
@@ -299,7 +301,8 @@
         ledger.record(attempt.number(), AttemptFate.UNKNOWN);
         recordLoss(attempt, cause);
         if (attempt == current) {
-            copy = attempt.backup();
+            // The engine copies a run's memory from its first event on.
+            copy = attempt.hasEvents() ? attempt.backup() : null;
             lostMillis = now();
         }
         boolean continues = !streamBegun || route.repeatRule().continuesStream();
@@ -425,6 +428,7 @@
             failure = null;
         }
         context.state().requestClosed();
+        launcher.loadChanged();
         trace.ended(outcome, status, ledger.attemptCount(), lastEventId, remaining());
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamWatch.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamWatch.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 import io.laburnummoor.core.Clock;
-import io.laburnummoor.core.process.PromptPace;
 import io.laburnummoor.core.version.ForwardRoute;
 import io.laburnummoor.gateway.connection.UpstreamPool;
+import io.laburnummoor.gateway.process.GatewayContext;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
@@ -30,9 +30,9 @@
     private static final int DEAD_AFTER_PROBES = 2;
 
     private final EventLoop loop;
+    private final GatewayContext context;
     private final Clock clock;
     private final UpstreamPool pool;
-    private final PromptPace pace;
     private final ForwardRoute route;
     private final Listener listener;
     private @Nullable Attempt watched;
@@ -41,12 +41,11 @@
     private boolean probing;
     private boolean firstEventGivenUp;
 
-    StreamWatch(
-            EventLoop loop, Clock clock, UpstreamPool pool, PromptPace pace, ForwardRoute route, Listener listener) {
+    StreamWatch(EventLoop loop, GatewayContext context, UpstreamPool pool, ForwardRoute route, Listener listener) {
         this.loop = loop;
-        this.clock = clock;
+        this.context = context;
+        this.clock = context.clock();
         this.pool = pool;
-        this.pace = pace;
         this.route = route;
         this.listener = listener;
     }
@@ -136,7 +135,8 @@
     }
 
     private long firstEventMillis(Attempt attempt) {
-        long expected = FIRST_EVENT_FACTOR * pace.millisFor(attempt.target().promptTokens());
+        long promptTokens = context.choice().promptTokens(attempt.target());
+        long expected = FIRST_EVENT_FACTOR * context.pace().millisFor(promptTokens);
         return Math.min(Math.round(route.goalMillis() * FIRST_EVENT_SHARE), FIRST_EVENT_SLACK_MILLIS + expected);
     }
 }
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RouterRegistration.java
@@ -0,0 +1,69 @@
+package io.laburnummoor.gateway.version;
+
+import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.KeyValueStore;
+import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
+import io.laburnummoor.gateway.process.DecisionLog;
+import io.laburnummoor.gateway.process.GatewaySettings;
+import io.laburnummoor.wire.process.PeriodicTask;
+
+/** Keeps this router's key in the platform's key-value service, under a lease that lapses when the process dies. */
+public final class RouterRegistration implements Service {
+    /** Prefix of the keys; the rest of a key is the router's name, its value the address for datagrams. */
+    public static final String PREFIX = "laburnummoor/routers/";
+
+    private static final long RENEWAL_MILLIS = 2_000;
+    /** Two renewals may fail before the others take this router as gone. */
+    private static final long TIME_TO_LIVE_SECONDS = 6;
+
+    private final KeyValueStore store;
+    private final String key;
+    private final String address;
+    private final DecisionLog log;
+    private final PeriodicTask renewal = new PeriodicTask("registration", RENEWAL_MILLIS, this::renew);
+    private long leaseId = KeyValueStore.NO_LEASE;
+    private boolean registered;
+
+    /** Creates a registration. */
+    public RouterRegistration(KeyValueStore store, GatewaySettings settings, DecisionLog log) {
+        this.store = store;
+        this.key = PREFIX + settings.name();
+        this.address = settings.host() + ":" + settings.exchangePort();
+        this.log = log;
+    }
+
+    @Override
+    public void start() {
+        renewal.start();
+    }
+
+    @Override
+    public void stop() {
+        renewal.stop();
+    }
+
+    private void renew() {
+        try {
+            if (registered && store.keepLeaseAlive(leaseId)) {
+                return;
+            }
+            registered = register();
+            log.line("router_registered")
+                    .flag("registered", registered)
+                    .number("lease", leaseId)
+                    .write();
+        } catch (LaburnummoorException unavailable) {
+            log.line("router_not_registered")
+                    .text("error", unavailable.getMessage())
+                    .write();
+        }
+    }
+
+    private boolean register() {
+        leaseId = store.grantLease(TIME_TO_LIVE_SECONDS);
+        VersionedValue before = store.get(key);
+        long expected = before == null ? KeyValueStore.ABSENT : before.version();
+        return store.compareAndSwap(key, expected, address, leaseId) != KeyValueStore.ABSENT;
+    }
+}
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -32,6 +33,7 @@
     private static final long WAIT_MILLIS = 600;
 
     private static final long RETRY_MILLIS = 250;
+    private static final String ADDRESS_PATTERN = "[0-9.]+:[0-9]{1,5}";
     /** Time after the store's return in which live upstreams that lapsed meanwhile are listed again. */
     private static final long RELIST_MILLIS = 2_300;
 
@@ -45,6 +47,8 @@
     private final Thread thread;
     private final Map<String, InstanceState> instances = new HashMap<>();
     private final Map<String, Long> lapsedAtMillis = new HashMap<>();
+    private final Map<String, String> addressByRouter = new TreeMap<>();
+    private final String routerName;
     private boolean connected;
     private long disturbedAtMillis = Long.MIN_VALUE / 2;
     private long version = -1;
@@ -52,6 +56,7 @@
 
     /** Creates a follower. */
     public StoreFollower(
+            String routerName,
             ChangeFeed feed,
             StoreDocuments documents,
             GatewayState state,
@@ -59,6 +64,7 @@
             DecisionLog log,
             GatewayMetrics metrics,
             Clock clock) {
+        this.routerName = routerName;
         this.feed = feed;
         this.documents = documents;
         this.state = state;
@@ -125,6 +131,8 @@
         ChangeFeed.Batch config = feed.readAll(documents.configPrefix());
         ChangeFeed.Batch listed = feed.readAll(documents.instancePrefix());
         apply(config.changes());
+        addressByRouter.clear();
+        apply(feed.readAll(RouterRegistration.PREFIX).changes());
         Map<String, InstanceState> before = new HashMap<>(instances);
         apply(listed.changes());
         listed.changes().forEach(each -> before.remove(each.key()));
@@ -153,6 +161,8 @@
                 applyConfig(each);
             } else if (documents.isInstance(each.key())) {
                 listChanged |= applyInstance(each);
+            } else if (each.key().startsWith(RouterRegistration.PREFIX)) {
+                applyRouter(each);
             }
         }
         if (listChanged) {
@@ -178,6 +188,24 @@
                 .write();
     }
 
+    private void applyRouter(ChangeFeed.Change change) {
+        String address = change.value();
+        String name = change.key().substring(RouterRegistration.PREFIX.length());
+        if (name.equals(routerName)) {
+            return;
+        }
+        if (address == null || !address.matches(ADDRESS_PATTERN)) {
+            addressByRouter.remove(name);
+        } else {
+            addressByRouter.put(name, address);
+        }
+        state.replacePeers(List.copyOf(addressByRouter.values()));
+        log.line(address == null ? "router_gone" : "router_listed")
+                .text("router", name)
+                .number("routers", state.routerCount())
+                .write();
+    }
+
     private boolean applyInstance(ChangeFeed.Change change) {
         String value = change.value();
         if (value == null) {
--- /dev/null
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/LoadCodec.java
@@ -0,0 +1,43 @@
+package io.laburnummoor.wire.connection;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.laburnummoor.core.connection.RouterLoad;
+import io.laburnummoor.core.connection.UpstreamLoad;
+import io.laburnummoor.wire.generated.RouterLoadMessage;
+import io.laburnummoor.wire.generated.UpstreamLoadMessage;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+
+/** Converts what gateways tell each other about upstreams to datagrams and back. */
+public final class LoadCodec {
+    private LoadCodec() {}
+
+    /** Returns the bytes of a message. */
+    public static byte[] encode(RouterLoad load) throws TException {
+        List<UpstreamLoadMessage> loads = new ArrayList<>();
+        load.loadById()
+                .forEach((id, each) -> loads.add(
+                        new UpstreamLoadMessage(id, each.inFlight(), each.promptTokens(), each.heldTokens())));
+        return new TSerializer(new TCompactProtocol.Factory())
+                .serialize(new RouterLoadMessage(load.router(), load.incarnation(), load.sequence(), loads));
+    }
+
+    /** Returns the message in some bytes. */
+    public static RouterLoad decode(byte[] bytes) throws TException {
+        RouterLoadMessage message = new RouterLoadMessage();
+        new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, bytes);
+        Map<String, UpstreamLoad> loads = new HashMap<>();
+        for (UpstreamLoadMessage each : message.getLoads()) {
+            loads.put(
+                    each.getUpstreamId(),
+                    new UpstreamLoad(each.getInFlight(), each.getPromptTokens(), each.getHeldTokens()));
+        }
+        return new RouterLoad(message.getRouter(), message.getIncarnation(), message.getSequence(), loads);
+    }
+}
--- /dev/null
+++ b/laburnummoor-wire/src/main/thrift/load.thrift
@@ -0,0 +1,26 @@
+/**
+ * What gateways tell each other about their use of upstreams.
+ *
+ * Transport: one UDP datagram for each message. Protocol: compact.
+ */
+namespace java io.laburnummoor.wire.generated
+
+/** What one gateway uses of one upstream. */
+struct UpstreamLoadMessage {
+  1: required string upstreamId
+  2: required i32 inFlight
+  /** Prompt tokens of requests without an event yet. */
+  3: required i64 promptTokens
+  /** Tokens of all its requests and copies. */
+  4: required i64 heldTokens
+}
+
+struct RouterLoadMessage {
+  1: required string router
+  /** Random number of the process, so that a restarted gateway is not taken for an old message. */
+  2: required i64 incarnation
+  /** Increases with each message of the process. */
+  3: required i64 sequence
+  /** Upstreams that the gateway uses; all others are unused by it. */
+  4: required list<UpstreamLoadMessage> loads
+}
--- /dev/null
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/connection/LoadCodecTest.java
@@ -0,0 +1,34 @@
+package io.laburnummoor.wire.connection;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.laburnummoor.core.connection.RouterLoad;
+import io.laburnummoor.core.connection.UpstreamLoad;
+import org.apache.thrift.TException;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+/** Guards against messages that change on the way or do not fit into one packet. */
+final class LoadCodecTest {
+    private static final int PACKET_BYTES = 1_400;
+
+    @ParameterizedTest(name = "{0} upstreams")
+    @ValueSource(ints = {0, 1, 48})
+    void messagesArriveUnchangedInOnePacket(int upstreams) throws TException {
+        Map<String, UpstreamLoad> loads = new HashMap<>();
+        for (int i = 0; i < upstreams; i++) {
+            loads.put("i-00000000" + i, new UpstreamLoad(i, 14_400L * i, 88_000));
+        }
+        RouterLoad sent = new RouterLoad("frontend-asahikawa-1", Long.MIN_VALUE, 77, loads);
+
+        byte[] bytes = LoadCodec.encode(sent);
+
+        assertThat(LoadCodec.decode(bytes), is(sent));
+        assertThat(bytes.length, is(lessThan(PACKET_BYTES)));
+    }
+}
