Refuse requests that a stopping router cannot finish

Kept connections and a failure domain with one router bring requests long after readiness has failed. Ruled out: the balancer (readiness failed at once); engines (the stream ran).

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
+import io.laburnummoor.core.process.DrainPolicy;
 import io.laburnummoor.core.request.RequestGate;
 import io.laburnummoor.core.version.ClientLimits;
 import io.laburnummoor.core.version.ForwardRoute;
@@ -39,7 +40,7 @@
     private static final long CHECK_MILLIS = 1_000;
     private static final int MAX_QUEUED_MESSAGES = 64;
     /** Another router can serve the request at once, so the caller need not wait. */
-    private static final long RETRY_AFTER_UNCONFIGURED_MILLIS = 50;
+    private static final long RETRY_ELSEWHERE_MILLIS = 50;
 
     private final GatewayContext gateway;
     private final UpstreamPool pool;
@@ -212,6 +213,19 @@
             refuse(id, verdict.refusal(), exchange);
             return;
         }
+        long sinceStop = gateway.state().sinceStopMillis(now());
+        if (gateway.state().isDraining()
+                && !DrainPolicy.accepts(route, sinceStop, gateway.settings().stopMillis())) {
+            gateway.log()
+                    .line("request_refused")
+                    .text("request", id)
+                    .text("reason", "STOPPING")
+                    .text("route", route.name())
+                    .number("since_stop_ms", sinceStop)
+                    .write();
+            exchange.answerOwn(OwnAnswer.notRun("stopping", RETRY_ELSEWHERE_MILLIS));
+            return;
+        }
         ForwardRequest forward = new ForwardRequest(
                 id,
                 request.method(),
@@ -239,7 +253,7 @@
         OwnAnswer answer =
                 switch (reason) {
                     case NO_CONFIGURATION, STALE_CONFIGURATION -> OwnAnswer.notRun(
-                            "configuration_unknown", RETRY_AFTER_UNCONFIGURED_MILLIS);
+                            "configuration_unknown", RETRY_ELSEWHERE_MILLIS);
                     case UNKNOWN_ROUTE -> new OwnAnswer(HttpResponseStatus.NOT_FOUND.code(), "unknown_route", 0);
                     case UNKNOWN_KEY -> new OwnAnswer(HttpResponseStatus.UNAUTHORIZED.code(), "unauthenticated", 0);
                 };
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.locks.LockSupport;
 
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.DrainPolicy;
 import io.laburnummoor.gateway.connection.CallerChannelInitializer;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelInitializer;
@@ -21,8 +22,6 @@
     private static final int BACKLOG = 1_024;
     /** The balancer asks once a second and takes a router out after two misses. */
     private static final long BALANCER_NOTICE_MILLIS = 2_300;
-    /** Time that is kept for closing sockets and writing the last log lines. */
-    private static final long STOP_MARGIN_MILLIS = 700;
 
     private static final long POLL_MILLIS = 50;
     private static final byte[] EMPTY = {};
@@ -74,9 +73,9 @@
     /** Tells the balancer, waits for open requests and then closes all connections. */
     @Override
     public void stop() {
-        context.state().beginDraining();
         long start = context.clock().nowMillis();
-        long deadline = start + context.settings().stopMillis() - STOP_MARGIN_MILLIS;
+        context.state().beginDraining(start);
+        long deadline = start + context.settings().stopMillis() - DrainPolicy.STOP_MARGIN_MILLIS;
         long earliest = Math.min(deadline, start + BALANCER_NOTICE_MILLIS);
         while (shouldWait(earliest, deadline)) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -1,8 +1,8 @@
 package io.laburnummoor.gateway.process;
 
 import java.util.List;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.laburnummoor.core.Snapshot;
@@ -13,9 +13,11 @@
 
 /** What the control loops publish and requests read without a lock. */
 public final class GatewayState {
+    private static final long RUNNING = Long.MIN_VALUE;
+
     private final AtomicReference<@Nullable ForwardConfig> config = new AtomicReference<>();
     private final Snapshot<InstanceTable> instances = new Snapshot<>(InstanceTable.EMPTY);
-    private final AtomicBoolean draining = new AtomicBoolean();
+    private final AtomicLong stoppedAtMillis = new AtomicLong(RUNNING);
     private final AtomicInteger openRequests = new AtomicInteger();
     private final Snapshot<List<String>> peerAddresses = new Snapshot<>(List.of());
 
@@ -47,12 +49,18 @@
 
     /** Returns whether the process is stopping. */
     public boolean isDraining() {
-        return draining.get();
+        return stoppedAtMillis.get() != RUNNING;
+    }
+
+    /** Returns the time since the stop signal, or 0 while the process is not stopping. */
+    public long sinceStopMillis(long nowMillis) {
+        long stopped = stoppedAtMillis.get();
+        return stopped == RUNNING ? 0 : nowMillis - stopped;
     }
 
     /** Marks the process as stopping. */
-    public void beginDraining() {
-        draining.set(true);
+    public void beginDraining(long nowMillis) {
+        stoppedAtMillis.compareAndSet(RUNNING, nowMillis);
     }
 
     /** Counts a request that has begun. */
