--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -1,9 +1,13 @@
 package io.laburnummoor.wire.process;
 
+import javax.net.ssl.SSLSocket;
+
 import java.io.IOException;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MappingIterator;
@@ -18,11 +22,14 @@
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.client5.http.ssl.DefaultClientTlsStrategy;
+import org.apache.hc.client5.http.ssl.TlsSocketStrategy;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
@@ -44,6 +51,7 @@
         this.client = HttpClients.custom()
                 .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
                         .setDefaultConnectionConfig(connectionConfig)
+                        .setTlsSocketStrategy(new LazyTls())
                         .setMaxConnTotal(MAX_CONNECTIONS)
                         .setMaxConnPerRoute(MAX_CONNECTIONS)
                         .build())
@@ -154,6 +162,22 @@
         });
     }
 
+    /** Reads the trusted certificates at the first TLS connection only: they cost a tenth of a second of a start. */
+    private static final class LazyTls implements TlsSocketStrategy {
+        private final AtomicReference<@Nullable TlsSocketStrategy> strategy = new AtomicReference<>();
+
+        @Override
+        public SSLSocket upgrade(Socket socket, String target, int port, Object attachment, HttpContext context)
+                throws IOException {
+            TlsSocketStrategy known = strategy.get();
+            if (known == null) {
+                known = DefaultClientTlsStrategy.createDefault();
+                strategy.set(known);
+            }
+            return known.upgrade(socket, target, port, attachment, context);
+        }
+    }
+
     /**
      * An answer with any status.
      *
