Stop requests that crash engines on all routers

Cause: a request that crashes each engine that begins to run it was sent on as often as its route and the caller's retries allowed; nothing stopped it. Ruled out: the quarantine of generations as it is, which needs agents' heartbeats; its table of suspects is taken out and used by both. Change: SuspectTable; CrashReporter counts a loss that came when the request began to run, if the engine does not accept connections 0.6 s later and its failure domain lives; three crashes block the request; datagrams carry suspects. ForwardSession is split: FinalAnswer, AttemptLauncher, AttemptWatch.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -131,13 +131,13 @@
         failureShare.update(before -> before * (1 - FAILURE_WEIGHT));
     }
 
-    /** Records a failure of the upstream or of the way to it; returns the time until which no new work is sent. */
-    public long recordFailure(long nowMillis) {
+    /** Records a failure of the upstream or of the way to it, which keeps new work away for a while. */
+    public void recordFailure(long nowMillis) {
         int row = failuresInRow.getAndIncrement();
         failedAtMillis.set(nowMillis);
         failureShare.update(before -> before * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT);
         long hold = Math.min(MAX_EJECTION_MILLIS, BASE_EJECTION_MILLIS << Math.min(row, MAX_DOUBLINGS));
-        return ejectedUntilMillis.accumulateAndGet(nowMillis + hold, Math::max);
+        ejectedUntilMillis.accumulateAndGet(nowMillis + hold, Math::max);
     }
 
     /** Records an error that the upstream answered; the upstream stays in use, less preferred. */
@@ -170,6 +170,11 @@
         return nowMillis < ejectedUntilMillis.get();
     }
 
+    /** Returns for how long failures still keep new work away. */
+    public long ejectedForMillis(long nowMillis) {
+        return Math.max(0, ejectedUntilMillis.get() - nowMillis);
+    }
+
     /** Returns whether a refusal in the last moments says that there is no room. */
     public boolean isFull(long nowMillis) {
         return nowMillis < fullUntilMillis.get();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PeerLoads.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PeerLoads.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 
 import io.laburnummoor.core.Snapshot;
-import io.laburnummoor.core.connection.RouterLoad;
 import io.laburnummoor.core.connection.UpstreamLoad;
 
 /**
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/Quarantine.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/Quarantine.java
@@ -1,10 +1,8 @@
 package io.laburnummoor.core.process;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
 
@@ -26,15 +24,11 @@
     static final long DOMAIN_WINDOW_MILLIS = 2_000;
     /** Age at which a suspicion is decided: the window and the delay of a heartbeat that reports another crash. */
     static final long DECISION_MILLIS = DOMAIN_WINDOW_MILLIS + 1_500;
-    /** Time that a crash is remembered. */
-    static final long RETENTION_MILLIS = 600_000;
-    /** Bound on remembered fingerprints; those that expire soonest are dropped first. */
-    static final int MAX_SUSPECTS = 1_000;
 
     private final RoutingTable routing;
     private final Clock clock;
     private final Clock wallClock;
-    private final ConcurrentHashMap<String, Suspect> suspects = new ConcurrentHashMap<>();
+    private final SuspectTable table;
     private final Queue<Suspicion> undecided = new ConcurrentLinkedQueue<>();
 
     /** Creates an empty quarantine. */
@@ -42,6 +36,7 @@
         this.routing = routing;
         this.clock = clock;
         this.wallClock = wallClock;
+        this.table = new SuspectTable(wallClock);
     }
 
     /**
@@ -57,60 +52,44 @@
 
     /** Records that a request ran alone to its end: its earlier crashes were caused by others. */
     public void recordInnocence(String fingerprint) {
-        long nowMillis = wallClock.nowMillis();
         undecided.removeIf(each -> each.fingerprint.equals(fingerprint));
-        suspects.computeIfPresent(fingerprint, (key, known) -> known.cleared(nowMillis, nowMillis + RETENTION_MILLIS));
+        table.recordInnocence(fingerprint);
     }
 
     /** Decides suspicions that are old enough and forgets what has expired. Called by one thread. */
     public void tick() {
         long nowMillis = clock.nowMillis();
-        long wallMillis = wallClock.nowMillis();
         undecided.removeIf(each -> {
             if (nowMillis - each.atMillis < DECISION_MILLIS) {
                 return false;
             }
             if (isConfirmed(each) && !isDomainEvent(each)) {
-                CrashRecord crash = new CrashRecord(each.upstream.id(), each.wallMillis, each.isolated);
-                suspects.compute(each.fingerprint, (key, known) -> (known == null ? Suspect.unknown(key) : known)
-                        .withCrash(crash, wallMillis + RETENTION_MILLIS));
+                table.recordCrash(
+                        each.fingerprint, new CrashRecord(each.upstream.id(), each.wallMillis, each.isolated));
             }
             return true;
         });
-        suspects.values().removeIf(each -> wallMillis >= each.deadlineMillis());
-        trim();
+        table.expire();
     }
 
     /** Takes over what another router knows. */
     public void merge(List<Suspect> received) {
-        for (Suspect each : received) {
-            if (wallClock.nowMillis() < each.deadlineMillis()) {
-                suspects.merge(each.fingerprint(), each, Suspect::merge);
-            }
-        }
+        table.merge(received);
     }
 
     /** Returns the latest suspects for other routers, the blocked ones first. */
     public List<Suspect> latest(int maxCount) {
-        return suspects.values().stream()
-                .sorted(Comparator.comparing(Suspect::isBlocked)
-                        .thenComparing(Suspect::deadlineMillis)
-                        .reversed())
-                .limit(maxCount)
-                .toList();
+        return table.latest(maxCount);
     }
 
     /** Returns whether a request must not run. */
     public boolean isBlocked(String fingerprint) {
-        Suspect known = suspects.get(fingerprint);
-        return known != null && known.isBlocked();
+        return table.isBlocked(fingerprint);
     }
 
     /** Returns whether a request may run only where it is alone. */
     public boolean needsIsolation(String fingerprint) {
-        Suspect known = suspects.get(fingerprint);
-        long counted = known == null ? 0 : known.crashes().size();
-        return counted + undecidedCount(fingerprint) >= Suspect.ISOLATION_CRASHES;
+        return table.crashCount(fingerprint) + undecidedCount(fingerprint) >= Suspect.ISOLATION_CRASHES;
     }
 
     /** Returns whether a request has to wait until the loss of an attempt that ran alone is decided. */
@@ -131,7 +110,7 @@
 
     /** Returns the number of blocked fingerprints. */
     public long blockedCount() {
-        return suspects.values().stream().filter(Suspect::isBlocked).count();
+        return table.blockedCount();
     }
 
     private long undecidedCount(String fingerprint) {
@@ -172,18 +151,6 @@
         return down || silent;
     }
 
-    private void trim() {
-        int excess = suspects.size() - MAX_SUSPECTS;
-        if (excess > 0) {
-            suspects.values().stream()
-                    .sorted(Comparator.comparing(Suspect::isBlocked).thenComparing(Suspect::deadlineMillis))
-                    .limit(excess)
-                    .map(Suspect::fingerprint)
-                    .toList()
-                    .forEach(suspects::remove);
-        }
-    }
-
     private record Suspicion(
             String fingerprint,
             Upstream upstream,
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/RouterLoad.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RouterLoad.java
@@ -1,7 +1,9 @@
-package io.laburnummoor.core.connection;
+package io.laburnummoor.core.process;
 
+import java.util.List;
 import java.util.Map;
 
+import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.version.VersionCounts;
 
 /**
@@ -11,6 +13,7 @@
  * @param incarnation differs for each life of the router's process
  * @param sequence increases with each message of one life
  * @param rolloutCounts judged answers by route for each ordered rollout, by the number of the order
+ * @param suspects requests that crashed upstreams
  * @param loadById loads by upstream id; upstreams that are missing are unused by the router
  */
 public record RouterLoad(
@@ -18,9 +21,11 @@
         long incarnation,
         long sequence,
         Map<Long, Map<String, VersionCounts>> rolloutCounts,
+        List<Suspect> suspects,
         Map<String, UpstreamLoad> loadById) {
     /** Copies the loads. */
     public RouterLoad {
+        suspects = List.copyOf(suspects);
         rolloutCounts = Map.copyOf(rolloutCounts);
         loadById = Map.copyOf(loadById);
     }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/PeerLoadsTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/PeerLoadsTest.java
@@ -1,8 +1,8 @@
 package io.laburnummoor.core.process;
 
+import java.util.List;
 import java.util.Map;
 
-import io.laburnummoor.core.connection.RouterLoad;
 import io.laburnummoor.core.connection.UpstreamLoad;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -16,7 +16,12 @@
 
     private static RouterLoad told(String router, long incarnation, long sequence, int inFlight) {
         return new RouterLoad(
-                router, incarnation, sequence, Map.of(), Map.of("i-1", new UpstreamLoad(inFlight, inFlight * 100L, 0)));
+                router,
+                incarnation,
+                sequence,
+                Map.of(),
+                List.of(),
+                Map.of("i-1", new UpstreamLoad(inFlight, inFlight * 100L, 0)));
     }
 
     @ParameterizedTest(name = "message {1} of life {0}")
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/EventFramer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/EventFramer.java
@@ -81,6 +81,11 @@
      */
     public record Event(long id, byte[] bytes) {
         /** Stands for an event without an id. */
-        public static final long NO_ID = -1;
+        static final long NO_ID = -1;
+
+        /** Returns whether the event has an id. */
+        public boolean hasId() {
+            return id != NO_ID;
+        }
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayContext.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayContext.java
@@ -7,6 +7,7 @@
 import io.laburnummoor.core.process.InstanceChoice;
 import io.laburnummoor.core.process.OrderedRollouts;
 import io.laburnummoor.core.process.PromptPace;
+import io.laburnummoor.core.process.SuspectTable;
 import io.laburnummoor.core.process.WindowedRetryBudget;
 import io.laburnummoor.gateway.request.ForwardCodec;
 
@@ -21,6 +22,7 @@
  * @param losses losses of whole failure domains
  * @param exchange what routers tell each other
  * @param rollouts ordered rollouts
+ * @param suspects requests that crash upstreams
  * @param budget retry budget
  * @param pace speed at which engines read prompts
  * @param codec translation of headers
@@ -36,6 +38,7 @@
         DomainLosses losses,
         LoadExchange exchange,
         OrderedRollouts rollouts,
+        SuspectTable suspects,
         WindowedRetryBudget budget,
         PromptPace pace,
         ForwardCodec codec,
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -11,10 +11,11 @@
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.connection.InstanceState;
-import io.laburnummoor.core.connection.RouterLoad;
 import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.process.OrderedRollouts;
 import io.laburnummoor.core.process.PeerLoads;
+import io.laburnummoor.core.process.RouterLoad;
+import io.laburnummoor.core.process.SuspectTable;
 import io.laburnummoor.core.version.VersionCounts;
 import io.laburnummoor.wire.connection.LoadCodec;
 import io.netty.bootstrap.Bootstrap;
@@ -41,6 +42,8 @@
     private static final long REPEAT_MILLIS = 1_000;
     /** Bounds the messages of one change; with more routers each tells only those that come first. */
     private static final int MAX_PEERS = 32;
+    /** Requests that crash upstreams are rare; the latest ones are told. */
+    private static final int MAX_SUSPECTS = 4;
     /** Keeps a message within one packet. */
     private static final int MAX_LOADS = 48;
 
@@ -48,6 +51,7 @@
     private final GatewayState state;
     private final PeerLoads peers;
     private final OrderedRollouts rollouts;
+    private final SuspectTable suspects;
     private final DecisionLog log;
     private final Clock clock;
     private final EventLoop loop;
@@ -62,6 +66,7 @@
             GatewayState state,
             PeerLoads peers,
             OrderedRollouts rollouts,
+            SuspectTable suspects,
             DecisionLog log,
             Clock clock,
             EventLoopGroup loops) {
@@ -69,6 +74,7 @@
         this.state = state;
         this.peers = peers;
         this.rollouts = rollouts;
+        this.suspects = suspects;
         this.log = log;
         this.clock = clock;
         this.loop = loops.next();
@@ -103,6 +109,7 @@
 
     private void repeat() {
         peers.expire(clock.nowMillis());
+        suspects.expire();
         send();
     }
 
@@ -137,7 +144,7 @@
         }
         Map<Long, Map<String, VersionCounts>> counts = new HashMap<>();
         rollouts.active().values().forEach(each -> counts.put(each.order().number(), each.ownCounts()));
-        return new RouterLoad(settings.name(), incarnation, ++sequence, counts, loads);
+        return new RouterLoad(settings.name(), incarnation, ++sequence, counts, suspects.latest(MAX_SUSPECTS), loads);
     }
 
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
@@ -146,6 +153,7 @@
             try {
                 RouterLoad told = LoadCodec.decode(ByteBufUtil.getBytes(packet.content()));
                 peers.record(told, clock.nowMillis());
+                suspects.merge(told.suspects());
                 told.rolloutCounts().forEach((order, counts) -> rollouts.told(told.router(), order, counts));
             } catch (TException malformed) {
                 log.line("load_not_read").text("error", malformed.toString()).write();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -1,10 +1,12 @@
 package io.laburnummoor.gateway.request;
 
+import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
 import io.laburnummoor.gateway.connection.EventFramer;
 import io.laburnummoor.gateway.connection.UpstreamConnection;
 import io.laburnummoor.gateway.connection.UpstreamListener;
+import io.laburnummoor.gateway.process.GatewayContext;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -17,8 +19,15 @@
     /** Bound on an answer that is kept whole before it is passed on. */
     private static final int MAX_WHOLE_ANSWER_BYTES = 16 << 20;
 
+    /** Connections are not used in the last moments before the upstream closes them. */
+    private static final long IDLE_MARGIN_MILLIS = 500;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
     private final ForwardSession session;
     private final ForwardCodec codec;
+    private final Clock clock;
+    private final boolean streamRequested;
     private final InstanceState target;
     private final @Nullable InstanceState backup;
     private final boolean resumesFromCopy;
@@ -34,28 +43,30 @@
     private long lastSignMillis;
     private boolean streaming;
     private boolean promptRead;
-    private boolean eventSeen;
+    private int eventCount;
     private boolean ended;
 
     Attempt(
             ForwardSession session,
-            ForwardCodec codec,
+            GatewayContext context,
+            boolean streamRequested,
             InstanceState target,
             @Nullable InstanceState backup,
             boolean resumesFromCopy,
             int number,
             long tokens,
-            long promptTokensAtStart,
-            long startedMillis) {
+            long promptTokensAtStart) {
         this.promptTokensAtStart = promptTokensAtStart;
         this.session = session;
-        this.codec = codec;
+        this.codec = context.codec();
+        this.clock = context.clock();
+        this.streamRequested = streamRequested;
         this.target = target;
         this.backup = backup;
         this.resumesFromCopy = resumesFromCopy;
         this.number = number;
         this.tokens = tokens;
-        this.startedMillis = startedMillis;
+        this.startedMillis = clock.nowMillis();
         this.lastSignMillis = startedMillis;
         target.started(tokens);
         if (backup != null) {
@@ -137,7 +148,11 @@
     }
 
     boolean hasEvents() {
-        return eventSeen;
+        return eventCount > 0;
+    }
+
+    int eventCount() {
+        return eventCount;
     }
 
     /** Returns when the last event arrived, or when the attempt started. */
@@ -171,9 +186,9 @@
         answerHeaders = response.headers();
         UpstreamConnection open = connection;
         if (open != null && answer.idleSeconds() > 0) {
-            open.limitIdle(session.usableIdleMillis(answer.idleSeconds()));
+            open.limitIdle(Math.max(0, answer.idleSeconds() * MILLIS_PER_SECOND - IDLE_MARGIN_MILLIS));
         }
-        long now = session.nowMillis();
+        long now = clock.nowMillis();
         target.recordSeen(now);
         AnswerHead.Load load = answer.load();
         if (load != null) {
@@ -183,7 +198,7 @@
             breakProtocol("success without the upstream's signature or with an encoding");
             return;
         }
-        streaming = answer.isSuccess() && session.isStreaming();
+        streaming = answer.isSuccess() && streamRequested;
         if (!streaming) {
             whole = Unpooled.buffer();
         }
@@ -216,9 +231,9 @@
         try {
             framer.add(content, event -> {
                 if (!ended) {
-                    eventSeen = true;
+                    eventCount++;
                     markPromptRead();
-                    recordSign(session.nowMillis());
+                    recordSign(clock.nowMillis());
                     session.onEvent(this, answer, headers, event);
                 }
             });
@@ -252,7 +267,7 @@
     @Override
     public void onBroken(String cause) {
         if (!ended) {
-            session.onLost(this, cause);
+            session.onBroken(this, cause);
         }
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -84,6 +84,20 @@
         return nowMillis - attempt.startedMillis() > SLOW_FACTOR * expected + SLOW_SLACK_MILLIS;
     }
 
+    /** Keeps new work away from the upstream of a lost attempt for a while. */
+    void recordLoss(Attempt attempt) {
+        UpstreamInstance instance = attempt.instance();
+        long now = context.clock().nowMillis();
+        attempt.target().recordFailure(now);
+        context.losses().record(service.name(), instance.failureDomain(), instance.id(), now);
+    }
+
+    /** Returns whether most upstreams beside an attempt's are lost too. */
+    boolean isDomainSuspect(Attempt attempt) {
+        long now = context.clock().nowMillis();
+        return context.losses().isSuspect(service.name(), attempt.instance().failureDomain(), now);
+    }
+
     /** Tells the other routers that the use of an engine has changed. */
     void loadChanged() {
         if (service.generates()) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptWatch.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptWatch.java
@@ -1,5 +1,10 @@
 package io.laburnummoor.gateway.request;
 
+import io.laburnummoor.core.version.ForwardRoute;
+import io.laburnummoor.gateway.connection.UpstreamPool;
+import io.laburnummoor.gateway.process.GatewayContext;
+import io.netty.channel.EventLoop;
+
 /** Watches the running attempt of one request for silence; each implementation stands for one kind of request. */
 interface AttemptWatch {
     /** Watches nothing: a request that runs at most once waits for its answer until the deadline. */
@@ -11,6 +16,17 @@
         public void stop() {}
     };
 
+    /** Returns the watch for the requests of a route. */
+    static AttemptWatch of(
+            GatewayContext context, EventLoop loop, UpstreamPool pool, ForwardRoute route, Listener listener) {
+        if (!route.repeatRule().repeatsAfterRun()) {
+            return NONE;
+        }
+        return route.streaming()
+                ? new StreamWatch(loop, context, pool, route, listener)
+                : new HedgeWatch(loop, route.goalMillis(), listener);
+    }
+
     /** A new attempt is the one to watch. */
     void started(Attempt attempt);
 
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CrashReporter.java
@@ -0,0 +1,66 @@
+package io.laburnummoor.gateway.request;
+
+import java.util.concurrent.TimeUnit;
+
+import io.laburnummoor.core.connection.CrashRecord;
+import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.gateway.connection.UpstreamPool;
+import io.laburnummoor.gateway.process.GatewayContext;
+import io.netty.channel.EventLoop;
+
+/**
+ * Counts crashes of upstreams against the request that ran there, so that a request that crashes each upstream is
+ * stopped on all routers. A loss counts if the upstream does not accept connections some moments later and the rest of
+ * its failure domain lives; otherwise the request is not to blame.
+ */
+final class CrashReporter {
+    /** Crashes on this many upstreams block a request. */
+    private static final int BLOCKING_CRASHES = 3;
+    /** The loss of a failure domain has shown by then; a crashed upstream is not back yet. */
+    private static final long CONFIRM_MILLIS = 600;
+
+    private final GatewayContext context;
+    private final EventLoop loop;
+    private final UpstreamPool pool;
+    private final ForwardRequest request;
+
+    CrashReporter(GatewayContext context, EventLoop loop, UpstreamPool pool, ForwardRequest request) {
+        this.context = context;
+        this.loop = loop;
+        this.pool = pool;
+        this.request = request;
+    }
+
+    /** Returns whether the request must not run any more. */
+    boolean isBlocked() {
+        return context.suspects().crashCount(request.fingerprint()) >= BLOCKING_CRASHES;
+    }
+
+    /** Notes that the connection to an upstream broke while the request ran there. */
+    void connectionBroke(UpstreamInstance instance) {
+        long wallMillis = System.currentTimeMillis();
+        loop.schedule(() -> confirm(instance, wallMillis), CONFIRM_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void confirm(UpstreamInstance instance, long wallMillis) {
+        long now = context.clock().nowMillis();
+        if (context.losses().isSuspect(instance.service(), instance.failureDomain(), now)) {
+            return;
+        }
+        pool.probe(instance, alive -> {
+            if (alive) {
+                return;
+            }
+            String fingerprint = request.fingerprint();
+            context.suspects().recordCrash(fingerprint, new CrashRecord(instance.id(), wallMillis, false));
+            context.exchange().changed();
+            context.log()
+                    .line("crash_counted")
+                    .text("request", request.id())
+                    .text("upstream", instance.id())
+                    .text("fingerprint", fingerprint)
+                    .number("crashes", context.suspects().crashCount(fingerprint))
+                    .write();
+        });
+    }
+}
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardRequest.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardRequest.java
@@ -1,7 +1,9 @@
 package io.laburnummoor.gateway.request;
 
+import io.laburnummoor.core.process.RendezvousHash;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.apache.commons.codec.digest.MurmurHash3;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,4 +26,11 @@
         byte[] body,
         CallerHead caller,
         @Nullable String organisation,
-        long arrivedMillis) {}
+        long arrivedMillis) {
+    /** Returns a digest that stays the same when the caller sends the request again under another id. */
+    String fingerprint() {
+        long head = RendezvousHash.hash(method + " " + target + " " + organisation);
+        long[] content = MurmurHash3.hash128x64(body, 0, body.length, Long.hashCode(head));
+        return Long.toHexString(head) + Long.toHexString(content[0]);
+    }
+}
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.laburnummoor.core.connection.InstanceState;
-import io.laburnummoor.core.connection.UpstreamInstance;
 import io.laburnummoor.core.request.AttemptFate;
 import io.laburnummoor.core.request.AttemptLedger;
 import io.laburnummoor.core.version.ForwardRoute;
@@ -18,6 +17,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
@@ -26,17 +26,15 @@
  * another upstream after a loss where the route allows it. Confined to the event loop of the caller's connection.
  */
 public final class ForwardSession implements AttemptWatch.Listener {
-    /** Connections are not used in the last moments before the upstream closes them. */
-    private static final long IDLE_MARGIN_MILLIS = 500;
 
-    private static final long MILLIS_PER_SECOND = 1_000;
     /** Less time than this is not worth another attempt. */
     private static final long MIN_REMAINING_MILLIS = 20;
 
     private static final long RETRY_AFTER_FULL_MILLIS = 150;
     private static final long RETRY_AFTER_NO_UPSTREAM_MILLIS = 400;
-    private static final int FIRST_SERVER_ERROR = 500;
-    private static final int OK = 200;
+    private static final long RETRY_AFTER_QUARANTINE_MILLIS = 2_000;
+    /** A request that crashes engines does so when it begins to run; a later loss has another cause. */
+    private static final int MAX_EVENTS_BEFORE_CRASH = 3;
     /** Multiple of the goal from which an answer counts as slow. */
     private static final int SLOW_GOALS = 2;
 
@@ -50,7 +48,9 @@
     private final AttemptLauncher launcher;
     private final AttemptWatch watch;
     private final AttemptLedger ledger;
+    private final FinalAnswer answer;
     private final RequestTrace trace;
+    private final CrashReporter crashes;
     private final Set<String> failedIds = new HashSet<>();
     private final long deadlineMillis;
     private final ScheduledFuture<?> deadlineTimer;
@@ -58,7 +58,6 @@
     private @Nullable Attempt current;
     private @Nullable Attempt hedge;
     private @Nullable InstanceState copy;
-    private @Nullable UpstreamAnswer failure;
     private long lastEventId;
     private long lastEventMillis;
     private long lostMillis = NOT_LOST;
@@ -80,8 +79,10 @@
         this.route = route;
         this.service = service;
         this.launcher = new AttemptLauncher(context, pool, request, route, service);
-        this.watch = watchFor(context, loop, pool, route, this);
+        this.watch = AttemptWatch.of(context, loop, pool, route, this);
         this.ledger = new AttemptLedger(route.repeatRule(), route.maxUpstreams());
+        this.answer = new FinalAnswer(context.codec(), exchange, route, ledger);
+        this.crashes = new CrashReporter(context, loop, pool, request);
         this.trace = new RequestTrace(context, request, route, service.name());
         long callerMillis = request.caller().deadlineMillis();
         long waitMillis = callerMillis == 0 ? route.timeoutMillis() : Math.min(callerMillis, route.timeoutMillis());
@@ -92,22 +93,12 @@
         context.state().requestOpened();
     }
 
-    private static AttemptWatch watchFor(
-            GatewayContext context,
-            EventLoop loop,
-            UpstreamPool pool,
-            ForwardRoute route,
-            AttemptWatch.Listener listener) {
-        if (!route.repeatRule().repeatsAfterRun()) {
-            return AttemptWatch.NONE;
-        }
-        return route.streaming()
-                ? new StreamWatch(loop, context, pool, route, listener)
-                : new HedgeWatch(loop, route.goalMillis(), listener);
-    }
-
     /** Starts the first attempt. */
     public void start() {
+        if (crashes.isBlocked()) {
+            giveUp("request_quarantined", RETRY_AFTER_QUARANTINE_MILLIS);
+            return;
+        }
         context.budget().recordRequest(service.name(), now());
         launch("first", false);
     }
@@ -119,7 +110,7 @@
         }
     }
 
-    /** The caller's connection accepts more bytes, or no more for now. */
+    /** Reads from the upstream only while the caller's connection accepts bytes. */
     public void writabilityChanged(boolean writable) {
         if (current != null) {
             current.setReading(writable);
@@ -147,14 +138,14 @@
         }
         Attempt attempt = new Attempt(
                 this,
-                context.codec(),
+                context,
+                route.streaming(),
                 target,
                 launcher.chooseBackup(target),
                 fromCopy,
                 ledger.open(target.instance().id()),
                 request.caller().totalTokens(),
-                context.choice().promptTokens(target) + request.caller().promptTokens(),
-                now());
+                context.choice().promptTokens(target) + request.caller().promptTokens());
         if (asHedge) {
             hedge = attempt;
         } else {
@@ -183,24 +174,12 @@
     }
 
     /** Returns whether an answer belongs to this request. */
-    boolean isOwnAnswer(AnswerHead answer) {
-        return request.id().equals(answer.attemptId());
-    }
-
-    boolean isStreaming() {
-        return route.streaming();
-    }
-
-    long nowMillis() {
-        return now();
-    }
-
-    long usableIdleMillis(int idleSeconds) {
-        return Math.max(0, idleSeconds * MILLIS_PER_SECOND - IDLE_MARGIN_MILLIS);
+    boolean isOwnAnswer(AnswerHead head) {
+        return request.id().equals(head.attemptId());
     }
 
-    void onEvent(Attempt attempt, AnswerHead answer, HttpHeaders headers, EventFramer.Event event) {
-        boolean numbered = event.id() != EventFramer.Event.NO_ID;
+    void onEvent(Attempt attempt, AnswerHead head, HttpHeaders headers, EventFramer.Event event) {
+        boolean numbered = event.hasId();
         if (numbered && lastEventId > 0 && event.id() != lastEventId + 1) {
             attempt.cancel();
             onLost(attempt, "event " + event.id() + " after " + lastEventId);
@@ -209,7 +188,7 @@
         long now = now();
         if (!streamBegun) {
             streamBegun = true;
-            exchange.beginStream(answer.status(), context.codec().encodeAnswer(headers));
+            exchange.beginStream(head.status(), context.codec().encodeAnswer(headers));
             trace.begun();
             launcher.loadChanged();
             launcher.judge(attempt, launcher.isSlow(attempt, now));
@@ -239,24 +218,25 @@
         attempt.target().recordSuccess();
         trace.attemptEnded("answered");
         exchange.endStream();
-        finish("answered", OK);
+        finish("answered", HttpResponseStatus.OK.code());
     }
 
-    void onWholeAnswer(Attempt attempt, AnswerHead answer, HttpHeaders headers, ByteBuf body) {
+    void onWholeAnswer(Attempt attempt, AnswerHead head, HttpHeaders headers, ByteBuf body) {
         attempt.end();
-        if (answer.notExecuted()) {
+        if (head.notExecuted()) {
             body.release();
-            onNotExecuted(attempt, answer);
+            onNotExecuted(attempt, head);
             return;
         }
         ledger.record(attempt.number(), AttemptFate.ANSWERED);
-        UpstreamAnswer whole = new UpstreamAnswer(answer, headers, body);
-        if (answer.isSuccess()) {
+        UpstreamAnswer whole = new UpstreamAnswer(head, headers, body);
+        if (head.isSuccess()) {
             attempt.target().recordSuccess();
             trace.attemptEnded("answered");
             trace.begun();
             launcher.judge(attempt, now() - attempt.startedMillis() > SLOW_GOALS * route.goalMillis());
-            deliver(whole);
+            answer.deliver(whole);
+            finish("answered", whole.head().status());
         } else {
             onUpstreamError(attempt, whole);
         }
@@ -266,17 +246,18 @@
         int status = whole.head().status();
         attempt.target().recordError();
         trace.upstreamError(attempt, status);
-        launcher.judge(attempt, status >= FIRST_SERVER_ERROR);
+        launcher.judge(attempt, UpstreamAnswer.isServerError(status));
         failedIds.add(attempt.instance().id());
-        replaceFailure(whole);
-        boolean repeats = status >= FIRST_SERVER_ERROR && route.repeatRule().repeatsAfterUpstreamFailure();
+        answer.keepFailure(whole);
+        boolean repeats =
+                UpstreamAnswer.isServerError(status) && route.repeatRule().repeatsAfterUpstreamFailure();
         goOn(attempt, "upstream_error", repeats, 0);
     }
 
-    private void onNotExecuted(Attempt attempt, AnswerHead answer) {
+    private void onNotExecuted(Attempt attempt, AnswerHead head) {
         ledger.record(attempt.number(), AttemptFate.NOT_EXECUTED);
-        trace.refused(attempt, answer.status());
-        if (answer.wrongInstance()) {
+        trace.refused(attempt, head.status());
+        if (head.wrongInstance()) {
             attempt.target().recordGone(now());
             ledger.recordEnded(attempt.instance().id());
         } else if (!attempt.resumesFromCopy()) {
@@ -300,6 +281,14 @@
         }
     }
 
+    /** The connection broke, which may mean that the request crashed the upstream. */
+    void onBroken(Attempt attempt, String cause) {
+        if (attempt.eventCount() <= MAX_EVENTS_BEFORE_CRASH) {
+            crashes.connectionBroke(attempt.instance());
+        }
+        onLost(attempt, cause);
+    }
+
     void onLost(Attempt attempt, String cause) {
         attempt.end();
         if (done) {
@@ -312,18 +301,13 @@
             copy = attempt.hasEvents() ? attempt.backup() : null;
             lostMillis = now();
         }
-        boolean continues = !streamBegun || route.repeatRule().continuesStream();
-        goOn(attempt, "lost", continues, 0);
+        goOn(attempt, "lost", !streamBegun || route.repeatRule().continuesStream(), 0);
     }
 
     private void recordLoss(Attempt attempt, String cause) {
-        UpstreamInstance instance = attempt.instance();
-        long now = now();
-        failedIds.add(instance.id());
-        long until = attempt.target().recordFailure(now);
-        context.losses().record(service.name(), instance.failureDomain(), instance.id(), now);
-        boolean suspect = context.losses().isSuspect(service.name(), instance.failureDomain(), now);
-        trace.lost(attempt, cause, ledger.fate(attempt.number()), until - now, suspect);
+        failedIds.add(attempt.instance().id());
+        launcher.recordLoss(attempt);
+        trace.lost(attempt, cause, ledger.fate(attempt.number()), launcher.isDomainSuspect(attempt));
     }
 
     /** Starts another attempt after one has ended without an answer for the caller, or gives up. */
@@ -352,6 +336,7 @@
     private boolean mayRepeatNow() {
         return remaining() > MIN_REMAINING_MILLIS
                 && ledger.mayRepeat()
+                && !crashes.isBlocked()
                 && context.budget().tryRepeat(service.name(), now());
     }
 
@@ -394,57 +379,24 @@
             finish(code, 0);
             return;
         }
-        UpstreamAnswer known = failure;
-        if (known != null && known.mayBePassedOn(route.repeatRule())) {
-            failure = null;
-            deliver(known);
-            return;
-        }
-        OwnAnswer answer = ownAnswer(code, retryAfterMillis);
-        exchange.answerOwn(answer);
-        finish(code, answer.status());
-    }
-
-    private OwnAnswer ownAnswer(String code, long retryAfterMillis) {
-        if (ledger.mayPromiseNotRun()) {
-            return OwnAnswer.notRun(code, retryAfterMillis);
-        }
-        return remaining() == 0 ? OwnAnswer.timedOut() : OwnAnswer.upstreamLost(code);
-    }
-
-    private void deliver(UpstreamAnswer whole) {
-        int status = whole.head().status();
-        exchange.answerWhole(status, context.codec().encodeAnswer(whole.headers()), whole.body());
-        finish("answered", status);
-    }
-
-    private void replaceFailure(UpstreamAnswer whole) {
-        if (failure != null) {
-            failure.body().release();
-        }
-        failure = whole;
+        finish(code, answer.giveUp(code, retryAfterMillis, remaining() == 0));
     }
 
     private void finish(String outcome, int status) {
         done = true;
         deadlineTimer.cancel(false);
         watch.stop();
-        stop(current);
-        stop(hedge);
+        if (current != null) {
+            current.cancel();
+        }
+        if (hedge != null) {
+            hedge.cancel();
+        }
         current = null;
         hedge = null;
-        if (failure != null) {
-            failure.body().release();
-            failure = null;
-        }
+        answer.release();
         context.state().requestClosed();
         launcher.loadChanged();
         trace.ended(outcome, status, ledger.attemptCount(), lastEventId, remaining());
     }
-
-    private static void stop(@Nullable Attempt attempt) {
-        if (attempt != null && !attempt.hasEnded()) {
-            attempt.cancel();
-        }
-    }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -40,7 +40,7 @@
                 .write();
     }
 
-    void lost(Attempt attempt, String cause, AttemptFate fate, long ejectedMillis, boolean domainSuspect) {
+    void lost(Attempt attempt, String cause, AttemptFate fate, boolean domainSuspect) {
         context.metrics().attemptEnded(service, fate == AttemptFate.NOT_SENT ? "unreachable" : "lost");
         context.log()
                 .line("attempt_lost")
@@ -49,7 +49,7 @@
                 .text("cause", cause)
                 .text("fate", fate.name())
                 .number("age_ms", now() - attempt.startedMillis())
-                .number("ejected_ms", ejectedMillis)
+                .number("ejected_ms", attempt.target().ejectedForMillis(now()))
                 .flag("domain_suspect", domainSuspect)
                 .write();
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamAnswer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamAnswer.java
@@ -12,6 +12,13 @@
  * @param body whole body; released by whoever takes the answer
  */
 record UpstreamAnswer(AnswerHead head, HttpHeaders headers, ByteBuf body) {
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** Returns whether a status says that the upstream failed. */
+    static boolean isServerError(int status) {
+        return status >= FIRST_SERVER_ERROR;
+    }
+
     /**
      * Returns whether the caller may get this answer: a status that promises "not run" must not reach it if the request
      * has run and may not run again.
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/DigestCodec.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/DigestCodec.java
@@ -38,14 +38,14 @@
         return digest.getSuspects().stream().map(DigestCodec::decode).toList();
     }
 
-    private static SuspectMessage encode(Suspect suspect) {
+    static SuspectMessage encode(Suspect suspect) {
         List<CrashMessage> crashes = suspect.crashes().stream()
                 .map(each -> new CrashMessage(each.upstreamId(), each.crashedAtMillis(), each.isolated()))
                 .toList();
         return new SuspectMessage(suspect.fingerprint(), crashes, suspect.clearedAtMillis(), suspect.deadlineMillis());
     }
 
-    private static Suspect decode(SuspectMessage message) {
+    static Suspect decode(SuspectMessage message) {
         List<CrashRecord> crashes = message.getCrashes().stream()
                 .map(each -> new CrashRecord(each.getUpstreamId(), each.getCrashedAtMillis(), each.isIsolated()))
                 .toList();
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/LoadCodec.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/LoadCodec.java
@@ -5,8 +5,9 @@
 import java.util.List;
 import java.util.Map;
 
-import io.laburnummoor.core.connection.RouterLoad;
 import io.laburnummoor.core.connection.UpstreamLoad;
+import io.laburnummoor.core.process.RouterLoad;
+import io.laburnummoor.core.process.Suspect;
 import io.laburnummoor.core.version.VersionCounts;
 import io.laburnummoor.wire.generated.RolloutCountsMessage;
 import io.laburnummoor.wire.generated.RouterLoadMessage;
@@ -36,6 +37,7 @@
                                 each.oldFailures(),
                                 each.newTrials(),
                                 each.newFailures()))));
+        load.suspects().forEach(each -> message.addToSuspects(DigestCodec.encode(each)));
         return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
     }
 
@@ -62,6 +64,10 @@
                                         each.getNewFailures()));
             }
         }
-        return new RouterLoad(message.getRouter(), message.getIncarnation(), message.getSequence(), counts, loads);
+        List<Suspect> suspects = message.isSetSuspects()
+                ? message.getSuspects().stream().map(DigestCodec::decode).toList()
+                : List.of();
+        return new RouterLoad(
+                message.getRouter(), message.getIncarnation(), message.getSequence(), counts, suspects, loads);
     }
 }
--- a/laburnummoor-wire/src/main/thrift/load.thrift
+++ b/laburnummoor-wire/src/main/thrift/load.thrift
@@ -5,6 +5,8 @@
  */
 namespace java io.laburnummoor.wire.generated
 
+include "exchange.thrift"
+
 /** What one gateway uses of one upstream. */
 struct UpstreamLoadMessage {
   1: required string upstreamId
@@ -36,4 +38,6 @@
   4: required list<UpstreamLoadMessage> loads
   /** What the gateway has counted since each order; left out while there is no rollout. */
   5: optional list<RolloutCountsMessage> rolloutCounts
+  /** Requests that crashed upstreams; left out while there are none. */
+  6: optional list<exchange.SuspectMessage> suspects
 }
--- a/laburnummoor-wire/src/test/java/io/laburnummoor/wire/connection/LoadCodecTest.java
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/connection/LoadCodecTest.java
@@ -1,10 +1,13 @@
 package io.laburnummoor.wire.connection;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
-import io.laburnummoor.core.connection.RouterLoad;
+import io.laburnummoor.core.connection.CrashRecord;
 import io.laburnummoor.core.connection.UpstreamLoad;
+import io.laburnummoor.core.process.RouterLoad;
+import io.laburnummoor.core.process.Suspect;
 import io.laburnummoor.core.version.VersionCounts;
 import org.apache.thrift.TException;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,7 +30,10 @@
         }
         Map<Long, Map<String, VersionCounts>> counts =
                 upstreams == 0 ? Map.of() : Map.of(9L, Map.of("r-1", new VersionCounts(4, 3, 2, 1)));
-        RouterLoad sent = new RouterLoad("frontend-asahikawa-1", Long.MIN_VALUE, 77, counts, loads);
+        List<Suspect> suspects = upstreams == 0
+                ? List.of()
+                : List.of(new Suspect("4fd1", List.of(new CrashRecord("i-3", 5, false)), 0, 9));
+        RouterLoad sent = new RouterLoad("frontend-asahikawa-1", Long.MIN_VALUE, 77, counts, suspects, loads);
 
         byte[] bytes = LoadCodec.encode(sent);
 
