Give up at the deadline from the timer itself

Cause: the method that the timer called only repeated a check that the timer's cancellation makes needless.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -89,7 +89,7 @@
         this.deadlineMillis = request.arrivedMillis() + waitMillis;
         this.lastEventId = request.caller().lastEventId();
         this.lastEventMillis = request.arrivedMillis();
-        this.deadlineTimer = loop.schedule(this::onDeadline, remaining(), TimeUnit.MILLISECONDS);
+        this.deadlineTimer = loop.schedule(() -> giveUp("deadline_exceeded", 0), remaining(), TimeUnit.MILLISECONDS);
         context.state().requestOpened();
     }
 
@@ -366,12 +366,6 @@
         onLost(attempt, cause);
     }
 
-    private void onDeadline() {
-        if (!done) {
-            giveUp("deadline_exceeded", 0);
-        }
-    }
-
     /** Ends the request with the best answer that is true. */
     private void giveUp(String code, long retryAfterMillis) {
         if (streamBegun) {
