Use an ejected upstream when there is no other

Cause: with all upstreams of a service ejected, requests were refused though an upstream may be back; three plain upstreams that each lose an answer within 0.4 s are enough. Change: ejected upstreams come last in the choice; copies are still not put there.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceChoice.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceChoice.java
@@ -18,7 +18,9 @@
     private static final double HELD_TOKENS_PER_REQUEST = 8_000;
 
     private static final double SUSPECT_DOMAIN_PENALTY = 100;
+    /** An ejected upstream is the last resort: it may be back, and a refusal helps nobody. */
     private static final double EJECTED_PENALTY = 1_000;
+
     private static final double FULL_PENALTY = 50;
     private static final double FAILURE_SHARE_PENALTY = 20;
     /** Below one request, so that it decides only between upstreams of equal load. */
@@ -61,7 +63,7 @@
     private @Nullable InstanceState chooseVersion(
             InstanceTable table, ForwardService service, Set<String> excludedIds, double versionDraw, long nowMillis) {
         InstanceState best = null;
-        double bestScore = EJECTED_PENALTY;
+        double bestScore = Double.POSITIVE_INFINITY;
         for (InstanceState each : table.ofService(service.name())) {
             if (!each.isListed(nowMillis)
                     || excludedIds.contains(each.instance().id())
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceChoiceTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceChoiceTest.java
@@ -87,6 +87,18 @@
         assertThat(choice.choose(table, named, Set.of("s-1", "a-1"), 0.5, NOW), is(nullValue()));
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 9})
+    void ejectedUpstreamsAreTheLastResort(int failures) {
+        for (int i = 0; i < failures; i++) {
+            sapporo.recordFailure(NOW);
+            asahikawa.recordFailure(NOW);
+        }
+
+        assertThat(choice.choose(table, DRAFTER, Set.of(), 0.5, NOW), is(notNullValue()));
+        assertThat(choice.chooseBackup(table, DRAFTER, sapporo.instance(), 1_000, NOW), is(nullValue()));
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1_000, 8_000})
     void theCopyIsKeptInAnotherDomainWithRoom(long tokens) {
