End the earlier life at an address when a new one is listed

Cause: the entry of a crashed engine stays listed for three heartbeats, 3.6 s, beside that of its next life. Change: StoreFollower ends a life when another one is listed at its address.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -229,6 +229,7 @@
         if (known != null && known.instance().isSameLife(read)) {
             return updateInstance(known, read);
         }
+        retireAddress(read.address());
         instances.put(change.key(), new InstanceState(read));
         log.line("upstream_listed")
                 .text("upstream", read.id())
@@ -239,6 +240,15 @@
         return true;
     }
 
+    /** Ends the earlier life at an address, whose entry lapses seconds after its crash. */
+    private void retireAddress(String address) {
+        for (InstanceState each : instances.values()) {
+            if (each.instance().address().equals(address)) {
+                each.recordGone(clock.nowMillis());
+            }
+        }
+    }
+
     private boolean updateInstance(InstanceState known, UpstreamInstance read) {
         boolean nowLeaving = read.leaving() && !known.instance().leaving();
         known.update(read);
