Take removals after the store's return as leaving

Ruled out: a late watch (the removal was seen at once). Change: only removals seen within 0.5 s of the store's return count as lapses.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -34,6 +34,8 @@
 
     private static final long RETRY_MILLIS = 250;
     private static final String ADDRESS_PATTERN = "[0-9.]+:[0-9]{1,5}";
+    /** Entries that are removed later than this after the store's return belong to upstreams that leave. */
+    private static final long CATCH_UP_MILLIS = 500;
     /** Time after the store's return in which live upstreams that lapsed meanwhile are listed again. */
     private static final long RELIST_MILLIS = 2_300;
 
@@ -51,6 +53,7 @@
     private final String routerName;
     private final RolloutFollower rolloutFollower;
     private boolean connected;
+    private long connectedAtMillis = Long.MIN_VALUE / 2;
     private long disturbedAtMillis = Long.MIN_VALUE / 2;
     private long version = -1;
     private volatile boolean stopping;
@@ -121,6 +124,7 @@
         freshness.confirm(begun);
         if (!connected) {
             connected = true;
+            connectedAtMillis = clock.nowMillis();
             log.line("store_connected").number("store_version", version).write();
         }
     }
@@ -129,6 +133,7 @@
         if (version >= 0) {
             log.line("store_history_lost").number("store_version", version).write();
             disturbedAtMillis = clock.nowMillis();
+            connected = false;
         }
         version = -1;
         ChangeFeed.Batch config = feed.readAll(documents.configPrefix());
@@ -266,7 +271,7 @@
             return false;
         }
         long now = clock.nowMillis();
-        boolean disturbed = now - disturbedAtMillis < RELIST_MILLIS;
+        boolean disturbed = !connected || now - connectedAtMillis < CATCH_UP_MILLIS;
         if (disturbed && !known.instance().leaving()) {
             lapsedAtMillis.putIfAbsent(key, now);
             return false;
