--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -29,7 +29,6 @@
     private final AtomicInteger failuresInRow = new AtomicInteger();
     private final AtomicLong ejectedUntilMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong fullUntilMillis = new AtomicLong(NEVER_MILLIS);
-    private final AtomicLong failedAtMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong seenMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong goneAtMillis = new AtomicLong(Long.MAX_VALUE);
     private final AtomicReference<@Nullable Load> load = new AtomicReference<>();
@@ -134,7 +133,6 @@
     /** Records a failure of the upstream or of the way to it, which keeps new work away for a while. */
     public void recordFailure(long nowMillis) {
         int row = failuresInRow.getAndIncrement();
-        failedAtMillis.set(nowMillis);
         failureShare.update(before -> before * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT);
         long hold = Math.min(MAX_EJECTION_MILLIS, BASE_EJECTION_MILLIS << Math.min(row, MAX_DOUBLINGS));
         ejectedUntilMillis.accumulateAndGet(nowMillis + hold, Math::max);
@@ -180,11 +178,6 @@
         return nowMillis < fullUntilMillis.get();
     }
 
-    /** Returns when the last failure was seen, or a time long past. */
-    public long failedAtMillis() {
-        return failedAtMillis.get();
-    }
-
     /** Returns the moving share of answers that failed, from 0 to 1. */
     public double failureShare() {
         return failureShare.get();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamLoad.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamLoad.java
@@ -16,9 +16,4 @@
         return new UpstreamLoad(
                 inFlight + other.inFlight, promptTokens + other.promptTokens, heldTokens + other.heldTokens);
     }
-
-    /** Returns whether the upstream is unused. */
-    public boolean isNone() {
-        return equals(NONE);
-    }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceChoice.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceChoice.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
@@ -31,7 +33,7 @@
     /** Draw that gets the old version as long as the new one does not have all traffic. */
     private static final double OLD_VERSION_DRAW = Math.nextDown(1.0);
 
-    private final String routerName;
+    private final long routerHash;
     private final String failureDomain;
     private final DomainLosses losses;
     private final PeerLoads peers;
@@ -40,7 +42,7 @@
     /** Creates a choice for one router. */
     public InstanceChoice(
             String routerName, String failureDomain, DomainLosses losses, PeerLoads peers, OrderedRollouts rollouts) {
-        this.routerName = routerName;
+        this.routerHash = RendezvousHash.hash(routerName);
         this.failureDomain = failureDomain;
         this.losses = losses;
         this.peers = peers;
@@ -62,21 +64,13 @@
 
     private @Nullable InstanceState chooseVersion(
             InstanceTable table, ForwardService service, Set<String> excludedIds, double versionDraw, long nowMillis) {
-        InstanceState best = null;
-        double bestScore = Double.POSITIVE_INFINITY;
-        for (InstanceState each : table.ofService(service.name())) {
-            if (!each.isListed(nowMillis)
-                    || excludedIds.contains(each.instance().id())
-                    || !rollouts.allows(each.instance(), versionDraw)) {
-                continue;
-            }
-            double score = score(each, service, nowMillis);
-            if (score < bestScore) {
-                best = each;
-                bestScore = score;
-            }
-        }
-        return best;
+        return lowest(
+                table.ofService(service.name()),
+                Double.POSITIVE_INFINITY,
+                each -> each.isListed(nowMillis)
+                        && !excludedIds.contains(each.instance().id())
+                        && rollouts.allows(each.instance(), versionDraw),
+                each -> score(each, service, nowMillis));
     }
 
     /** Returns the prompt tokens that an upstream has yet to read for all routers, as far as known. */
@@ -87,23 +81,37 @@
     /** Returns the upstream that keeps the copy of a run, in another failure domain, or null if there is none. */
     public @Nullable InstanceState chooseBackup(
             InstanceTable table, ForwardService service, UpstreamInstance primary, long tokens, long nowMillis) {
+        return lowest(
+                table.ofService(service.name()),
+                EJECTED_PENALTY,
+                each -> each.isListed(nowMillis)
+                        && !each.instance().failureDomain().equals(primary.failureDomain())
+                        && each.instance().version().equals(primary.version())
+                        && hasRoom(each, service, tokens),
+                each -> score(each, service, nowMillis) + heldTokens(each) / HELD_TOKENS_PER_REQUEST);
+    }
+
+    private boolean hasRoom(InstanceState each, ForwardService service, long tokens) {
+        return service.cacheTokens() == 0 || heldTokens(each) + tokens <= service.cacheTokens();
+    }
+
+    private long heldTokens(InstanceState each) {
+        return each.heldTokens() + peers.of(each.instance().id()).heldTokens();
+    }
+
+    /** Returns the eligible upstream with the lowest score below a limit, or null if there is none. */
+    private static @Nullable InstanceState lowest(
+            List<InstanceState> candidates,
+            double limit,
+            Predicate<InstanceState> eligible,
+            ToDoubleFunction<InstanceState> score) {
         InstanceState best = null;
-        double bestScore = EJECTED_PENALTY;
-        List<InstanceState> candidates = table.ofService(service.name());
+        double bestScore = limit;
         for (InstanceState each : candidates) {
-            UpstreamInstance instance = each.instance();
-            long held = each.heldTokens() + peers.of(instance.id()).heldTokens();
-            boolean hasRoom = service.cacheTokens() == 0 || held + tokens <= service.cacheTokens();
-            if (!each.isListed(nowMillis)
-                    || instance.failureDomain().equals(primary.failureDomain())
-                    || !instance.version().equals(primary.version())
-                    || !hasRoom) {
-                continue;
-            }
-            double score = score(each, service, nowMillis) + held / HELD_TOKENS_PER_REQUEST;
-            if (score < bestScore) {
+            double own = eligible.test(each) ? score.applyAsDouble(each) : limit;
+            if (own < bestScore) {
                 best = each;
-                bestScore = score;
+                bestScore = own;
             }
         }
         return best;
@@ -121,7 +129,7 @@
         score += each.isFull(nowMillis) ? FULL_PENALTY : 0;
         score += losses.isSuspect(service.name(), instance.failureDomain(), nowMillis) ? SUSPECT_DOMAIN_PENALTY : 0;
         score += instance.failureDomain().equals(failureDomain) ? 0 : FOREIGN_DOMAIN_PENALTY;
-        long rank = RendezvousHash.weight(RendezvousHash.hash(routerName), instance.id());
+        long rank = RendezvousHash.weight(routerHash, instance.id());
         return score + OWNERSHIP_SPREAD * RendezvousHash.toUnitInterval(rank);
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/OrderedRolloutController.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/OrderedRolloutController.java
@@ -60,12 +60,13 @@
         String service = active.order().service();
         String key = documents.stepKey(service);
         VersionedValue stored = store.get(key);
-        RolloutStep current = stored == null ? null : documents.readStep(stored.value());
-        if (current == null || current.orderNumber() != active.order().number()) {
-            current = RolloutStep.first(active.order());
-        }
+        RolloutStep known = stored == null ? null : documents.readStep(stored.value());
+        RolloutStep current =
+                known != null && known.orderNumber() == active.order().number()
+                        ? known
+                        : RolloutStep.first(active.order());
         RolloutStep next = decide(active, current, nowMillis);
-        if (stored == null || !next.equals(documents.readStep(stored.value()))) {
+        if (!next.equals(known)) {
             long expected = stored == null ? KeyValueStore.ABSENT : stored.version();
             if (store.compareAndSwap(key, expected, documents.writeStep(next)) == KeyValueStore.ABSENT) {
                 return;
@@ -82,7 +83,7 @@
         if (current.isFinal()) {
             return current;
         }
-        if (active.evaluate()) {
+        if (active.isBad()) {
             return current.ended(RolloutState.Phase.ROLLED_BACK);
         }
         double elapsed = active.elapsedFraction(nowMillis);
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/OrderedRollouts.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/OrderedRollouts.java
@@ -140,13 +140,17 @@
             return Map.copyOf(own);
         }
 
-        /** Evaluates what all routers have counted; called by one thread. Returns whether the version is bad. */
-        public boolean evaluate() {
+        /** Evaluates what all routers have counted; called by one thread. */
+        public void evaluate() {
             Map<String, VersionCounts> totals = new HashMap<>(own);
             byRouter.values()
                     .forEach(counts -> counts.forEach((route, each) -> totals.merge(route, each, VersionCounts::plus)));
             evaluation.update(totals);
             braked |= evaluation.isBad();
+        }
+
+        /** Returns whether the new version has been found bad. */
+        public boolean isBad() {
             return braked;
         }
 
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/SuspectTable.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/SuspectTable.java
@@ -6,7 +6,6 @@
 
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.connection.CrashRecord;
-import org.jspecify.annotations.Nullable;
 
 /** The counted crashes by fingerprint that this router knows, its own and those of other routers. */
 public final class SuspectTable {
@@ -76,9 +75,14 @@
         return known != null && known.isBlocked();
     }
 
+    /** Returns whether no crash is counted against any request. */
+    public boolean isEmpty() {
+        return suspects.isEmpty();
+    }
+
     /** Returns the number of crashes counted against a request. */
     public int crashCount(String fingerprint) {
-        Suspect known = find(fingerprint);
+        Suspect known = suspects.get(fingerprint);
         return known == null ? 0 : known.crashes().size();
     }
 
@@ -86,8 +90,4 @@
     long blockedCount() {
         return suspects.values().stream().filter(Suspect::isBlocked).count();
     }
-
-    private @Nullable Suspect find(String fingerprint) {
-        return suspects.get(fingerprint);
-    }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AtMostOnceRule.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AtMostOnceRule.java
@@ -6,11 +6,6 @@
         return false;
     }
 
-    @Override
-    public boolean repeatsAfterUpstreamFailure() {
-        return false;
-    }
-
     @Override
     public boolean continuesStream() {
         return false;
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AttemptLedger.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AttemptLedger.java
@@ -81,17 +81,7 @@
         if (fates.size() >= MAX_ATTEMPTS) {
             return false;
         }
-        return mayHaveRun() ? rule.repeatsAfterRun() && countedUpstreams() < maxUpstreams : true;
-    }
-
-    /** Returns whether an attempt on this upstream may have run. */
-    public boolean mayHaveRunOn(String upstreamId) {
-        for (int i = 0; i < fates.size(); i++) {
-            if (upstreams.get(i).equals(upstreamId) && fates.get(i).mayHaveRun()) {
-                return true;
-            }
-        }
-        return false;
+        return !mayHaveRun() || (rule.repeatsAfterRun() && countedUpstreams() < maxUpstreams);
     }
 
     private int countedUpstreams() {
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/IdempotentRule.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/IdempotentRule.java
@@ -6,11 +6,6 @@
         return true;
     }
 
-    @Override
-    public boolean repeatsAfterUpstreamFailure() {
-        return true;
-    }
-
     @Override
     public boolean continuesStream() {
         return false;
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/RepeatRule.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/RepeatRule.java
@@ -12,12 +12,11 @@
     /** Streams that may be continued on another upstream after the last delivered event. */
     RepeatRule RESUMABLE = new ResumableRule();
 
-    /** Returns whether the request may be sent again after an attempt that may have run. */
+    /**
+     * Returns whether the request may be sent again after an attempt that may have run, or that ran and failed.
+     */
     boolean repeatsAfterRun();
 
-    /** Returns whether an upstream's own failure may be answered by another attempt. */
-    boolean repeatsAfterUpstreamFailure();
-
     /** Returns whether events that were delivered may be followed by those of another attempt. */
     boolean continuesStream();
 }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/FaultyStore.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/FaultyStore.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import io.laburnummoor.core.ErrorCode;
 import io.laburnummoor.core.LaburnummoorException;
@@ -20,7 +22,10 @@
     private final Map<String, VersionedValue> values = new HashMap<>();
     private final Deque<WriteFault> faults = new ArrayDeque<>();
     private final Deque<Runnable> delayedWrites = new ArrayDeque<>();
+    private final Set<String> leasedKeys = new HashSet<>();
     private long revision;
+    private long lastLeaseId;
+    private long lapsedLeaseId;
     private boolean down;
     private @Nullable Runnable beforeNextWrite;
 
@@ -28,6 +33,13 @@
         down = isDown;
     }
 
+    /** Ends all leases and removes their keys. */
+    void lapseLeases() {
+        lapsedLeaseId = lastLeaseId;
+        leasedKeys.forEach(values::remove);
+        leasedKeys.clear();
+    }
+
     /** Returns a number that grows with each write. */
     long revision() {
         return revision;
@@ -65,12 +77,12 @@
         throwIfDown();
         WriteFault fault = faults.poll();
         if (fault == WriteFault.WRITE_DELAYED) {
-            delayedWrites.add(() -> write(key, expectedVersion, value));
+            delayedWrites.add(() -> write(key, expectedVersion, value, leaseId));
         }
         if (fault == WriteFault.WRITE_DELAYED || fault == WriteFault.WRITE_LOST) {
             throw unavailable();
         }
-        long version = write(key, expectedVersion, value);
+        long version = write(key, expectedVersion, value, leaseId);
         if (fault == WriteFault.ANSWER_LOST) {
             throw unavailable();
         }
@@ -86,12 +98,12 @@
 
     @Override
     public long grantLease(long timeToLiveSeconds) {
-        return 1;
+        return ++lastLeaseId;
     }
 
     @Override
     public boolean keepLeaseAlive(long leaseId) {
-        return true;
+        return leaseId > lapsedLeaseId;
     }
 
     @Override
@@ -99,12 +111,17 @@
         return get(key);
     }
 
-    private long write(String key, long expectedVersion, String value) {
+    private long write(String key, long expectedVersion, String value, long leaseId) {
         VersionedValue stored = values.get(key);
         if ((stored == null ? ABSENT : stored.version()) != expectedVersion) {
             return ABSENT;
         }
         values.put(key, new VersionedValue(value, ++revision));
+        if (leaseId == NO_LEASE) {
+            leasedKeys.remove(key);
+        } else {
+            leasedKeys.add(key);
+        }
         return revision;
     }
 
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/OrderedRolloutsTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/OrderedRolloutsTest.java
@@ -1,9 +1,6 @@
 package io.laburnummoor.core.process;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
 
@@ -14,7 +11,6 @@
 import io.laburnummoor.core.version.RolloutOrder;
 import io.laburnummoor.core.version.RolloutState;
 import io.laburnummoor.core.version.RolloutStep;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -44,7 +40,7 @@
         Random random = new Random(seed);
         OrderedRollouts rollouts = new OrderedRollouts();
         rollouts.order(new RolloutOrder("drafter", "v2", DURATION_MILLIS, 7), 0);
-        OrderedRolloutController controller = controller(new MemoryStore(), rollouts, "router-1");
+        OrderedRolloutController controller = controller(new FaultyStore(), rollouts, "router-1");
         long requests = 0;
         long exposed = 0;
         for (long now = 0; now < DURATION_MILLIS; now += TICK_MILLIS) {
@@ -95,7 +91,7 @@
     @ParameterizedTest(name = "bad {0}")
     @ValueSource(booleans = {true, false})
     void aPausedControllerCannotTakeAStepBack(boolean bad) {
-        MemoryStore store = new MemoryStore();
+        FaultyStore store = new FaultyStore();
         OrderedRollouts first = new OrderedRollouts();
         OrderedRollouts second = new OrderedRollouts();
         RolloutOrder order = new RolloutOrder("drafter", "v2", DURATION_MILLIS, 7);
@@ -153,58 +149,4 @@
             return step.phase().text();
         }
     }
-
-    /** A store in memory whose leases lapse on demand. */
-    private static final class MemoryStore implements KeyValueStore {
-        private final Map<String, VersionedValue> values = new HashMap<>();
-        private final Map<String, Long> leaseByKey = new HashMap<>();
-        private final List<Long> liveLeases = new ArrayList<>();
-        private long version;
-
-        void lapseLeases() {
-            liveLeases.clear();
-            leaseByKey.forEach((key, lease) -> {
-                if (lease != NO_LEASE) {
-                    values.remove(key);
-                }
-            });
-        }
-
-        @Override
-        public @Nullable VersionedValue get(String key) {
-            return values.get(key);
-        }
-
-        @Override
-        public long compareAndSwap(String key, long expectedVersion, String value, long leaseId) {
-            VersionedValue before = values.get(key);
-            if ((before == null ? ABSENT : before.version()) != expectedVersion) {
-                return ABSENT;
-            }
-            values.put(key, new VersionedValue(value, ++version));
-            leaseByKey.put(key, leaseId);
-            return version;
-        }
-
-        @Override
-        public long grantLease(long timeToLiveSeconds) {
-            liveLeases.add(++version);
-            return version;
-        }
-
-        @Override
-        public boolean keepLeaseAlive(long leaseId) {
-            return liveLeases.contains(leaseId);
-        }
-
-        @Override
-        public boolean delete(String key, long expectedVersion) {
-            return values.remove(key) != null;
-        }
-
-        @Override
-        public @Nullable VersionedValue watch(String key, long knownVersion, long timeoutMillis) {
-            return values.get(key);
-        }
-    }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.laburnummoor.core.process.DrainPolicy;
 import io.laburnummoor.core.request.RequestGate;
 import io.laburnummoor.core.version.ClientLimits;
+import io.laburnummoor.core.version.ForwardConfig;
 import io.laburnummoor.core.version.ForwardRoute;
 import io.laburnummoor.core.version.ForwardService;
 import io.laburnummoor.gateway.process.GatewayContext;
@@ -205,12 +207,12 @@
             return;
         }
         boolean fresh = gateway.freshness().isWithin(gateway.settings().revocationMillis());
-        RequestGate.Verdict verdict =
-                RequestGate.decide(gateway.state().config(), fresh, hostOf(request), pathOf(request), caller.key());
+        ForwardConfig config = gateway.state().config();
+        RequestGate.Verdict verdict = RequestGate.decide(config, fresh, hostOf(request), pathOf(request), caller.key());
         ForwardRoute route = verdict.route();
-        ForwardService service = route == null ? null : serviceOf(route);
+        ForwardService service = config == null || route == null ? null : serviceOf(config, route);
         if (route == null || service == null) {
-            refuse(id, verdict.refusal(), exchange);
+            refuse(id, verdict.refusal(), config, exchange);
             return;
         }
         long sinceStop = gateway.state().sinceStopMillis(now());
@@ -241,14 +243,12 @@
         started.start();
     }
 
-    private @Nullable ForwardService serviceOf(ForwardRoute route) {
-        var config = gateway.state().config();
-        String name = route.chooseService(
-                java.util.concurrent.ThreadLocalRandom.current().nextDouble());
-        return config == null ? null : config.service(name);
+    private static @Nullable ForwardService serviceOf(ForwardConfig config, ForwardRoute route) {
+        return config.service(route.chooseService(ThreadLocalRandom.current().nextDouble()));
     }
 
-    private void refuse(String id, RequestGate.@Nullable Refusal refusal, CallerResponse exchange) {
+    private void refuse(
+            String id, RequestGate.@Nullable Refusal refusal, @Nullable ForwardConfig config, CallerResponse exchange) {
         RequestGate.Refusal reason = refusal == null ? RequestGate.Refusal.NO_CONFIGURATION : refusal;
         OwnAnswer answer =
                 switch (reason) {
@@ -257,7 +257,6 @@
                     case UNKNOWN_ROUTE -> new OwnAnswer(HttpResponseStatus.NOT_FOUND.code(), "unknown_route", 0);
                     case UNKNOWN_KEY -> new OwnAnswer(HttpResponseStatus.UNAUTHORIZED.code(), "unauthenticated", 0);
                 };
-        var config = gateway.state().config();
         gateway.log()
                 .line("request_refused")
                 .text("request", id)
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -1,5 +1,6 @@
 package io.laburnummoor.gateway.process;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -19,7 +20,7 @@
     private final Snapshot<InstanceTable> instances = new Snapshot<>(InstanceTable.EMPTY);
     private final AtomicLong stoppedAtMillis = new AtomicLong(RUNNING);
     private final AtomicInteger openRequests = new AtomicInteger();
-    private final Snapshot<List<String>> peerAddresses = new Snapshot<>(List.of());
+    private final Snapshot<List<InetSocketAddress>> peerAddresses = new Snapshot<>(List.of());
 
     /** Returns the configuration in force, or null if none is known. */
     public @Nullable ForwardConfig config() {
@@ -79,12 +80,12 @@
     }
 
     /** Returns the addresses of the other routers for datagrams. */
-    public List<String> peerAddresses() {
+    public List<InetSocketAddress> peerAddresses() {
         return peerAddresses.get();
     }
 
     /** Replaces the addresses of the other routers. */
-    public void replacePeers(List<String> addresses) {
+    public void replacePeers(List<InetSocketAddress> addresses) {
         peerAddresses.replace(List.copyOf(addresses));
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -116,16 +116,13 @@
     private void send() {
         sendPlanned.set(false);
         Channel open = channel;
-        List<String> addresses = state.peerAddresses();
+        List<InetSocketAddress> addresses = state.peerAddresses();
         if (open == null || addresses.isEmpty()) {
             return;
         }
         try {
             byte[] bytes = LoadCodec.encode(ownLoad());
-            for (String each : addresses.subList(0, Math.min(MAX_PEERS, addresses.size()))) {
-                int colon = each.lastIndexOf(':');
-                InetSocketAddress peer =
-                        new InetSocketAddress(each.substring(0, colon), Integer.parseInt(each.substring(colon + 1)));
+            for (InetSocketAddress peer : addresses.subList(0, Math.min(MAX_PEERS, addresses.size()))) {
                 open.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer), open.voidPromise());
             }
             open.flush();
@@ -138,7 +135,7 @@
         Map<String, UpstreamLoad> loads = new HashMap<>();
         for (InstanceState each : state.instances().all()) {
             UpstreamLoad load = each.ownLoad();
-            if (!load.isNone() && loads.size() < MAX_LOADS && each.heldTokens() > 0) {
+            if (load.heldTokens() > 0 && loads.size() < MAX_LOADS) {
                 loads.put(each.instance().id(), load);
             }
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CrashReporter.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CrashReporter.java
@@ -33,7 +33,8 @@
 
     /** Returns whether the request must not run any more. */
     boolean isBlocked() {
-        return context.suspects().crashCount(request.fingerprint()) >= BLOCKING_CRASHES;
+        return !context.suspects().isEmpty()
+                && context.suspects().crashCount(request.fingerprint()) >= BLOCKING_CRASHES;
     }
 
     /** Notes that the connection to an upstream broke while the request ran there. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -26,7 +26,6 @@
  * another upstream after a loss where the route allows it. Confined to the event loop of the caller's connection.
  */
 public final class ForwardSession implements AttemptWatch.Listener {
-
     /** Less time than this is not worth another attempt. */
     private static final long MIN_REMAINING_MILLIS = 20;
 
@@ -250,7 +249,7 @@
         failedIds.add(attempt.instance().id());
         answer.keepFailure(whole);
         boolean repeats =
-                UpstreamAnswer.isServerError(status) && route.repeatRule().repeatsAfterUpstreamFailure();
+                UpstreamAnswer.isServerError(status) && route.repeatRule().repeatsAfterRun();
         goOn(attempt, "upstream_error", repeats, 0);
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -1,5 +1,6 @@
 package io.laburnummoor.gateway.version;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -49,7 +50,7 @@
     private final Thread thread;
     private final Map<String, InstanceState> instances = new HashMap<>();
     private final Map<String, Long> lapsedAtMillis = new HashMap<>();
-    private final Map<String, String> addressByRouter = new TreeMap<>();
+    private final Map<String, InetSocketAddress> addressByRouter = new TreeMap<>();
     private final String routerName;
     private final RolloutFollower rolloutFollower;
     private boolean connected;
@@ -210,7 +211,9 @@
         if (address == null || !address.matches(ADDRESS_PATTERN)) {
             addressByRouter.remove(name);
         } else {
-            addressByRouter.put(name, address);
+            int colon = address.lastIndexOf(':');
+            int port = Integer.parseInt(address.substring(colon + 1));
+            addressByRouter.put(name, new InetSocketAddress(address.substring(0, colon), port));
         }
         state.replacePeers(List.copyOf(addressByRouter.values()));
         log.line(address == null ? "router_gone" : "router_listed")
