--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ConfigNode.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ConfigNode.java
@@ -1,14 +1,8 @@
 package io.laburnummoor.bench.process;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.laburnummoor.core.Service;
@@ -25,6 +19,7 @@
 import io.laburnummoor.wire.generated.ConfigService;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JsonHttp;
+import io.laburnummoor.wire.process.LoopbackPorts;
 import io.laburnummoor.wire.process.ThriftServer;
 import io.laburnummoor.wire.version.ConfigCodec;
 import io.laburnummoor.wire.version.WireConfig;
@@ -43,8 +38,6 @@
     /** Bytes of the answers by the router that gave them, over all nodes of the process. */
     private static final Map<RouterPeer, AtomicLong> ANSWERED_BYTES = new ConcurrentHashMap<>();
 
-    private static final AtomicInteger NEXT_PORT = new AtomicInteger(22_000);
-
     private final RouterPeer peer;
     private final ConfigReplica replica = new ConfigReplica();
     private final ConfigHolder holder = new ConfigHolder();
@@ -54,7 +47,7 @@
     private final ConfigFollower follower;
 
     ConfigNode(String name, String domain, URI keyValueAddress, RouterPeers peers) {
-        this.peer = new RouterPeer(name, domain, HOST, freePort());
+        this.peer = new RouterPeer(name, domain, HOST, LoopbackPorts.next());
         ConfigHandler handler = new ConfigHandler(name, domain, replica, holder);
         this.server = new ThriftServer(
                 HOST,
@@ -104,20 +97,6 @@
         http.stop();
     }
 
-    /** Returns a free port below the range that the system gives to outgoing connections. */
-    private static int freePort() {
-        while (true) {
-            int port = NEXT_PORT.getAndIncrement();
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
-                return socket.getLocalPort();
-            } catch (BindException taken) {
-                continue;
-            } catch (IOException cause) {
-                throw new UncheckedIOException(cause);
-            }
-        }
-    }
-
     /** Adds up the sizes of questions and answers on top of the product's client. */
     private static final class CountingClient implements ConfigPeerClient {
         private final ConfigPeerClient delegate = new ConfigPeers();
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -1,16 +1,8 @@
 package io.laburnummoor.bench.process;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 
 import com.google.inject.Guice;
@@ -35,6 +27,7 @@
 import io.laburnummoor.router.process.RouterSettings;
 import io.laburnummoor.wire.process.EtcdKeyValueStore;
 import io.laburnummoor.wire.process.JsonHttp;
+import io.laburnummoor.wire.process.LoopbackPorts;
 import io.laburnummoor.wire.process.ThriftServer;
 import io.laburnummoor.wire.request.PlainServiceClient;
 import io.laburnummoor.wire.version.ConfigCodec;
@@ -60,11 +53,6 @@
     private static final int PLATFORM_TIMEOUT_MILLIS = 2_000;
     private static final long READY_TIMEOUT_MILLIS = 20_000;
     private static final long READY_POLL_MILLIS = 20;
-    /** A port of the system's own range was at times taken by an outgoing connection before its server started. */
-    private static final int FIRST_PORT = 12_000;
-
-    private static final int LAST_PORT = 32_000;
-    private static final int PORT_TRIES = 1_000;
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final long ROLLOUT_MIN_STEP_MILLIS = 3_000;
     private static final int AGENT_DRAIN_MILLIS = 3_000;
@@ -72,7 +60,6 @@
     private static final long JOURNAL_RETENTION_MILLIS = 600_000;
 
     private final long drainMillis;
-    private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
     private final PlatformStandIn platform = new PlatformStandIn(HOST, 0);
     private final List<EngineNode> engines = new ArrayList<>();
     private final List<RouterNode> routers = new ArrayList<>();
@@ -163,9 +150,9 @@
                 name,
                 domain,
                 HOST,
-                freePort(),
-                freePort(),
-                freePort(),
+                LoopbackPorts.next(),
+                LoopbackPorts.next(),
+                LoopbackPorts.next(),
                 platformAddress(""),
                 platformAddress("/vms"),
                 MAX_BODY_BYTES,
@@ -231,23 +218,6 @@
         return URI.create("http://" + HOST + ":" + platform.port() + path);
     }
 
-    /** Returns a free port below the range from which the system takes the ports of outgoing connections. */
-    static int freePort() {
-        for (int i = 0; i < PORT_TRIES; i++) {
-            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
-                if (USED_PORTS.add(port)) {
-                    return port;
-                }
-            } catch (BindException taken) {
-                // Another process has this port; the next one is tried.
-            } catch (IOException cause) {
-                throw new UncheckedIOException(cause);
-            }
-        }
-        throw new IllegalStateException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
-    }
-
     /** An engine and the agent beside it. */
     public static final class EngineNode implements Service {
         private final EngineStandIn engine;
@@ -257,13 +227,13 @@
 
         EngineNode(String id, String domain, EngineSettings settings, String keyValueAddress, long agentDrainMillis) {
             this.engine = new EngineStandIn(HOST, 0, settings);
-            int agentPort = freePort();
+            int agentPort = LoopbackPorts.next();
             this.upstream = new Upstream(id, SERVICE, domain, HOST, engine.port(), agentPort, false);
             this.agentSettings = new AgentSettings(
                     id,
                     HOST,
                     agentPort,
-                    freePort(),
+                    LoopbackPorts.next(),
                     HOST,
                     engine.port(),
                     JOURNAL_MAX_BYTES,
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlainServiceNode.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlainServiceNode.java
@@ -9,6 +9,7 @@
 import io.laburnummoor.agent.process.AgentSettings;
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.connection.Upstream;
+import io.laburnummoor.wire.process.LoopbackPorts;
 
 /** A stand-in plain service and the agent beside it. */
 public final class PlainServiceNode implements Service {
@@ -24,13 +25,13 @@
 
     PlainServiceNode(String id, String domain, String host, RunLedger ledger) {
         this.service = new PlainServiceStandIn(host, 0, id, ledger);
-        int agentPort = LocalDeployment.freePort();
+        int agentPort = LoopbackPorts.next();
         this.upstream = new Upstream(id, SERVICE, domain, host, service.port(), agentPort, false);
         AgentSettings settings = new AgentSettings(
                 id,
                 host,
                 agentPort,
-                LocalDeployment.freePort(),
+                LoopbackPorts.next(),
                 host,
                 service.port(),
                 JOURNAL_MAX_BYTES,
