Spread simultaneous selections over all engines that are free

Cause: a running generation weighed as much as a third of a prompt, so that after the loss of a failure domain all routers chose among the few engines with the lowest load; engines near the end of their KV cache were chosen although a generation there would be preempted. Change: engines are weighed by the square of their occupancy (slots and KV cache) and by the prompts to prefill; routers spread over equal engines with Gumbel distributed ranks. The rank is computed from stored hashes instead of texts.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.process.RendezvousHash;
 import io.laburnummoor.core.request.PromptPart;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +31,7 @@
     private static final double FAILURE_RATE_WEIGHT = 0.15;
 
     private final Snapshot<UpstreamInstance> instance;
+    private final long idHash;
     private final AtomicInteger inFlightCount = new AtomicInteger();
     private final AtomicLong kvCacheTokens = new AtomicLong();
     private final AtomicLong prefillTokens = new AtomicLong();
@@ -45,6 +47,7 @@
     /** Creates the state of an incarnation of which only its entry in the platform's list is known. */
     public InstanceState(UpstreamInstance instance) {
         this.instance = new Snapshot<>(instance);
+        this.idHash = RendezvousHash.hash(instance.id());
     }
 
     /** Returns the latest entry in the platform's list. */
@@ -52,6 +55,11 @@
         return instance.get();
     }
 
+    /** Returns the hash of the upstream's id, which ranks the upstream for each router. */
+    public long idHash() {
+        return idHash;
+    }
+
     /** Replaces the entry by a later one of the same incarnation. */
     public void update(UpstreamInstance later) {
         instance.replace(later);
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
@@ -7,7 +7,6 @@
 
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
-import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.request.PromptPart;
 import io.laburnummoor.core.version.ForwardService;
 import org.jspecify.annotations.Nullable;
@@ -23,6 +22,13 @@
     /** Tokens in the KV cache that weigh as much as one running request in the selection of a backup. */
     private static final double KV_CACHE_TOKENS_PER_REQUEST = 8_000;
 
+    /**
+     * Weight of a full engine; it grows with the square of the occupancy, because running generations hardly slow each
+     * other down until slots or KV cache run out. Engines with few of them count as equal, so that simultaneous
+     * selections of several routers spread over them.
+     */
+    private static final double OCCUPANCY_WEIGHT = 8;
+
     private static final double SUSPECT_DOMAIN_PENALTY = 100;
     /** An ejected upstream is the last resort: it may have recovered, and refusing the request is no better. */
     private static final double EJECTED_PENALTY = 1_000;
@@ -34,6 +40,11 @@
     private static final double OTHER_DOMAIN_PENALTY = 0.2;
     /** Spreads the selections of routers that do not see each other's requests over different upstreams. */
     private static final double ROUTER_SPREAD = 0.9;
+    /**
+     * Temperature of the spread over engines: a router prefers an engine to another one with a probability that falls
+     * by a factor of e for each such difference of their loads. Small beside the weight of a prompt to prefill.
+     */
+    private static final double ENGINE_SPREAD = 0.4;
 
     /** Draw that selects the old version unless the new one has all traffic. */
     private static final double OLD_VERSION_DRAW = Math.nextDown(1.0);
@@ -69,6 +80,7 @@
 
     private @Nullable InstanceState selectForVersion(
             InstanceTable table, Criteria criteria, double versionDraw, long nowMillis) {
+        long promptTokens = criteria.promptTokens();
         return selectLowest(
                 table.ofService(criteria.service.name()),
                 Double.POSITIVE_INFINITY,
@@ -76,6 +88,7 @@
                         && !criteria.excludedIds.contains(each.instance().id())
                         && rollouts.allows(each.instance(), versionDraw),
                 each -> score(each, criteria.service, nowMillis)
+                        + (hasCapacity(each, criteria.service, promptTokens) ? 0 : FULL_PENALTY)
                         - each.cachedPrefixTokens(criteria.prompt, nowMillis) / PREFILL_TOKENS_PER_REQUEST);
     }
 
@@ -128,11 +141,7 @@
 
     private double score(InstanceState each, ForwardService service, long nowMillis) {
         UpstreamInstance instance = each.instance();
-        UpstreamLoad others = peerLoads.of(instance.id());
-        double score = Math.max(each.estimatedLoad(nowMillis), each.inFlightCount() + others.inFlight());
-        if (service.isEngine()) {
-            score += (each.prefillTokens() + others.prefillTokens()) / PREFILL_TOKENS_PER_REQUEST;
-        }
+        double score = service.isEngine() ? engineLoad(each, service, nowMillis) : requestCount(each, nowMillis);
         score += each.failureRate() * FAILURE_RATE_PENALTY;
         score += each.isEjected(nowMillis) ? EJECTED_PENALTY : 0;
         score += each.isFull(nowMillis) ? FULL_PENALTY : 0;
@@ -140,8 +149,32 @@
                 ? SUSPECT_DOMAIN_PENALTY
                 : 0;
         score += instance.failureDomain().equals(failureDomain) ? 0 : OTHER_DOMAIN_PENALTY;
-        long rank = RendezvousHash.weight(routerHash, instance.id());
-        return score + ROUTER_SPREAD * RendezvousHash.toUnitInterval(rank);
+        double rank = RendezvousHash.toUnitInterval(RendezvousHash.weight(routerHash, each.idHash()));
+        return score + (service.isEngine() ? engineSpread(rank) : ROUTER_SPREAD * rank);
+    }
+
+    /**
+     * Returns the spread of an engine by its rank for this router. The Gumbel distribution keeps the selections of many
+     * routers proportional to the engines' weights, whereas evenly distributed ranks would leave only the few engines
+     * with the very lowest load.
+     */
+    private static double engineSpread(double rank) {
+        double positive = Math.max(rank, Double.MIN_NORMAL);
+        return ENGINE_SPREAD * Math.log(-Math.log(positive));
+    }
+
+    private int requestCount(InstanceState each, long nowMillis) {
+        int known = each.inFlightCount() + peerLoads.of(each.instance().id()).inFlight();
+        return Math.max(each.estimatedLoad(nowMillis), known);
+    }
+
+    private double engineLoad(InstanceState each, ForwardService service, long nowMillis) {
+        double occupancy = (double) requestCount(each, nowMillis)
+                / Math.max(1, each.instance().slots());
+        if (service.kvCacheTokens() > 0) {
+            occupancy = Math.max(occupancy, (double) totalKvCacheTokens(each) / service.kvCacheTokens());
+        }
+        return OCCUPANCY_WEIGHT * occupancy * occupancy + totalPrefillTokens(each) / PREFILL_TOKENS_PER_REQUEST;
     }
 
     /**
@@ -153,5 +186,10 @@
      * @param versionDraw random number from 0 to 1 that selects the version during a rollout
      */
     public record Criteria(
-            ForwardService service, Set<String> excludedIds, List<PromptPart> prompt, double versionDraw) {}
+            ForwardService service, Set<String> excludedIds, List<PromptPart> prompt, double versionDraw) {
+        /** Returns the length of the prompt in tokens. */
+        long promptTokens() {
+            return prompt.stream().mapToLong(PromptPart::tokens).sum();
+        }
+    }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RendezvousHash.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RendezvousHash.java
@@ -27,6 +27,14 @@
         return MurmurHash3.hash128x64(bytes, 0, bytes.length, Long.hashCode(keyHash))[0];
     }
 
+    /** Returns the weight of a node for a key from the hashes of both; equal pairs have equal weights. */
+    public static long weight(long keyHash, long nodeHash) {
+        long mixed = keyHash ^ Long.rotateLeft(nodeHash, 32);
+        mixed = (mixed ^ (mixed >>> 33)) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return mixed ^ (mixed >>> 33);
+    }
+
     /** Maps a hash to a number from 0 to 1. */
     public static double toUnitInterval(long hash) {
         return (hash >>> 11) * 0x1.0p-53;
