Judge streams by their own pace and bound endless responses

Causes, read from the code and shown by UpstreamFaultTest: an event without an id counted as progress, so that a stalled engine which sent comments was never left; a stream at a slow but steady pace was cut at half of the gap target again and again; a large prompt on a slow engine was abandoned after 60 % of the goal; informational responses without end were skipped; the list of cached prefixes was collected past its limit; a long event was searched from its start at each read. Change: StreamTimeouts of core follows the pace and doubles after each stall; only numbered events of a resumable stream count; bounds on informational responses and on the list; a malformed list closes its connection.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/EventFramer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/EventFramer.java
@@ -16,6 +16,8 @@
     private static final String ID_FIELD = "id:";
 
     private final ByteBuf pending = Unpooled.buffer(256);
+    /** Bytes from the start of the incomplete event that hold no blank line, so that each byte is searched once. */
+    private int searchedBytes;
 
     /**
      * Appends bytes and passes each event that is complete to the consumer.
@@ -44,10 +46,11 @@
 
     /** Returns the index after the blank line that ends the first event, or -1 if that event is incomplete. */
     private int findEventEnd() {
-        int from = pending.readerIndex();
+        int from = pending.readerIndex() + searchedBytes;
         while (true) {
             int lineEnd = pending.indexOf(from, pending.writerIndex(), LINE_END);
             if (lineEnd < 0) {
+                searchedBytes = pending.readableBytes();
                 return -1;
             }
             int next = lineEnd + 1;
@@ -55,9 +58,11 @@
                 next++;
             }
             if (next >= pending.writerIndex()) {
+                searchedBytes = lineEnd - pending.readerIndex();
                 return -1;
             }
             if (pending.getByte(next) == LINE_END) {
+                searchedBytes = 0;
                 return next + 1;
             }
             from = lineEnd + 1;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -19,11 +19,15 @@
  * Confined to the event loop of its channel.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    /** A usual upstream sends one at the most; a faulty one may send them without end. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 8;
+
     private final UpstreamPool pool;
     private final String key;
     private @Nullable Channel channel;
     private @Nullable UpstreamListener listener;
     private boolean headReceived;
+    private int informationalCount;
     private boolean skippingInformational;
     private boolean reusable;
     private boolean closeDelimited;
@@ -46,6 +50,8 @@
         Channel target = channel;
         listener = answerListener;
         headReceived = false;
+        informationalCount = 0;
+        skippingInformational = false;
         reusable = false;
         closeDelimited = false;
         if (target == null || !target.isActive()) {
@@ -131,7 +137,11 @@
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            informationalCount++;
             skippingInformational = true;
+            if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+                fail("too many informational responses");
+            }
             return;
         }
         if (headReceived) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -3,6 +3,7 @@
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.version.ForwardRoute;
 import io.laburnummoor.gateway.connection.EventFramer;
 import io.laburnummoor.gateway.connection.UpstreamConnection;
 import io.laburnummoor.gateway.connection.UpstreamListener;
@@ -31,6 +32,9 @@
     private final ForwardCodec codec;
     private final Clock clock;
     private final boolean streamRequested;
+    /** Whether only events with an id are output; others, such as comments that keep a connection open, are not. */
+    private final boolean numberedEvents;
+
     private final InstanceState target;
     private final @Nullable InstanceState backup;
     private final boolean resumesFromBackup;
@@ -52,7 +56,7 @@
     Attempt(
             ForwardSession session,
             GatewayContext context,
-            boolean streamRequested,
+            ForwardRoute route,
             InstanceState target,
             @Nullable InstanceState backup,
             boolean resumesFromBackup,
@@ -63,7 +67,8 @@
         this.session = session;
         this.codec = context.headerCodec();
         this.clock = context.clock();
-        this.streamRequested = streamRequested;
+        this.streamRequested = route.streaming();
+        this.numberedEvents = route.retryPolicy().mayResumeStream();
         this.target = target;
         this.backup = backup;
         this.resumesFromBackup = resumesFromBackup;
@@ -237,9 +242,11 @@
         try {
             framer.add(content, event -> {
                 if (!ended) {
-                    eventCount++;
-                    markPrefillDone();
-                    recordActivity(clock.nowMillis());
+                    if (event.hasId() || !numberedEvents) {
+                        eventCount++;
+                        markPrefillDone();
+                        recordActivity(clock.nowMillis());
+                    }
                     session.onEvent(this, responseHead, headers, event);
                 }
             });
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptMonitor.java
@@ -15,6 +15,9 @@
         @Override
         public void started(Attempt attempt) {}
 
+        @Override
+        public void progressed() {}
+
         @Override
         public void stop() {}
     };
@@ -33,6 +36,9 @@
     /** Monitors a new attempt in place of the previous one. */
     void started(Attempt attempt);
 
+    /** Records that the monitored attempt has delivered an event of its stream. */
+    void progressed();
+
     /** Stops monitoring, since the request has ended. */
     void stop();
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
@@ -119,6 +119,10 @@
 
         private void cancel() {
             cancelled = true;
+            closeConnection();
+        }
+
+        private void closeConnection() {
             if (connection != null) {
                 connection.cancel();
             }
@@ -134,15 +138,18 @@
             byte[] bytes = new byte[content.readableBytes()];
             content.getBytes(content.readerIndex(), bytes);
             body.writeBytes(bytes);
-            readable &= body.size() <= MAX_RESPONSE_BYTES;
+            if (body.size() > MAX_RESPONSE_BYTES) {
+                cancel();
+                callback.run();
+            }
         }
 
         @Override
         public void onComplete() {
-            connection = null;
             if (readable) {
                 record();
             }
+            connection = null;
             callback.run();
         }
 
@@ -152,6 +159,8 @@
                 cachedParts += keys.size();
                 target.recordPrefixCache(keys, context.clock().nowMillis());
             } catch (IllegalArgumentException malformed) {
+                // It may be a late copy of an earlier response, and the real one would meet the next request.
+                closeConnection();
                 context.log()
                         .line("kept_prompts_not_read")
                         .text("upstream", target.instance().id())
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -144,7 +144,7 @@
         Attempt attempt = new Attempt(
                 this,
                 context,
-                route.streaming(),
+                route,
                 target,
                 launcher.selectBackup(target),
                 fromBackup,
@@ -190,6 +190,10 @@
             onLost(attempt, "event " + event.id() + " after " + lastEventId);
             return;
         }
+        if (!attempt.hasEvents()) {
+            // A comment before the first output would start the response without showing that the engine works.
+            return;
+        }
         long now = now();
         if (!streamStarted) {
             streamStarted = true;
@@ -205,8 +209,11 @@
             trace.streamResumed(attempt, lastEventId, now - lastEventMillis, now - lostAtMillis);
             lostAtMillis = NO_LOSS;
         }
-        lastEventId = numbered ? event.id() : lastEventId;
-        lastEventMillis = now;
+        if (numbered) {
+            lastEventId = event.id();
+            lastEventMillis = now;
+            monitor.progressed();
+        }
         exchange.writeEvents(Unpooled.wrappedBuffer(event.bytes()));
         if (!exchange.isWritable()) {
             attempt.setAutoRead(false);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeMonitor.java
@@ -37,6 +37,9 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    @Override
+    public void progressed() {}
+
     @Override
     public void stop() {
         if (timer != null) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.request.StreamTimeouts;
 import io.laburnummoor.core.version.ForwardRoute;
 import io.laburnummoor.gateway.connection.UpstreamPool;
 import io.laburnummoor.gateway.process.GatewayContext;
@@ -15,19 +16,6 @@
  * engine processes the prompt and sends nothing, so new connections are opened to check whether it is still alive.
  */
 final class StreamMonitor implements AttemptMonitor {
-    /** Event gap target of a route that declares none. */
-    private static final long DEFAULT_EVENT_GAP_TARGET_MILLIS = 2_000;
-    /**
-     * Fraction of the event gap target after which a stream without a new event counts as stalled; the rest is for the
-     * resumption on another upstream.
-     */
-    private static final double STALL_TIMEOUT_FRACTION = 0.5;
-    /** Fraction of the goal that the first event may take before another upstream is tried. */
-    private static final double FIRST_EVENT_GOAL_FRACTION = 0.6;
-
-    private static final long FIRST_EVENT_SLACK_MILLIS = 600;
-    /** Multiple of the expected processing time of the engine's prompts that the first event may take. */
-    private static final int FIRST_EVENT_FACTOR = 2;
     /** Time without activity of the engine after which it is probed with a new connection. */
     private static final long PROBE_AFTER_MILLIS = 250;
     /** Failed probes in a row after which the attempt is lost; two lost packets are unlikely on a working link. */
@@ -37,8 +25,8 @@
     private final GatewayContext context;
     private final Clock clock;
     private final UpstreamPool pool;
-    private final ForwardRoute route;
     private final Listener listener;
+    private final StreamTimeouts timeouts;
     private @Nullable Attempt monitored;
     private @Nullable ScheduledFuture<?> timer;
     private int failedProbes;
@@ -50,8 +38,8 @@
         this.context = context;
         this.clock = context.clock();
         this.pool = pool;
-        this.route = route;
         this.listener = listener;
+        this.timeouts = new StreamTimeouts(route.eventGapTargetMillis());
     }
 
     @Override
@@ -59,7 +47,13 @@
         monitored = attempt;
         failedProbes = 0;
         probing = false;
-        schedule(Math.min(PROBE_AFTER_MILLIS, stallTimeoutMillis()));
+        timeouts.recordAttempt();
+        schedule(Math.min(PROBE_AFTER_MILLIS, timeouts.stallMillis()));
+    }
+
+    @Override
+    public void progressed() {
+        timeouts.recordEvent(clock.nowMillis());
     }
 
     @Override
@@ -86,9 +80,11 @@
         long now = clock.nowMillis();
         if (attempt.hasEvents() || attempt.resumesFromBackup()) {
             long silentMillis = now - attempt.lastActivityMillis();
-            if (silentMillis < stallTimeoutMillis()) {
-                schedule(stallTimeoutMillis() - silentMillis);
+            long stallMillis = timeouts.stallMillis();
+            if (silentMillis < stallMillis) {
+                schedule(stallMillis - silentMillis);
             } else {
+                timeouts.recordStall();
                 reportUnresponsive(attempt, "silent");
             }
         } else {
@@ -133,17 +129,8 @@
         listener.onUnresponsive(attempt, cause);
     }
 
-    private long stallTimeoutMillis() {
-        long gapTargetMillis =
-                route.eventGapTargetMillis() == 0 ? DEFAULT_EVENT_GAP_TARGET_MILLIS : route.eventGapTargetMillis();
-        return Math.round(gapTargetMillis * STALL_TIMEOUT_FRACTION);
-    }
-
     private long firstEventTimeoutMillis(Attempt attempt) {
         long prefillTokens = context.selector().totalPrefillTokens(attempt.target());
-        long expected = FIRST_EVENT_FACTOR * context.prefillRate().expectedMillis(prefillTokens);
-        return Math.min(
-                Math.round(route.responseGoalMillis() * FIRST_EVENT_GOAL_FRACTION),
-                FIRST_EVENT_SLACK_MILLIS + expected);
+        return timeouts.firstEventMillis(context.prefillRate().expectedMillis(prefillTokens));
     }
 }
