Skip a document of the store that cannot be read

Cause: a malformed rollout step or router address ended each read of the store, so that no later document applied and the gateway refused all requests once its configuration was too old. Addresses were also accepted with ports over 65535 and with names, which would have been looked up on an event loop. Change: each document is applied by itself; addresses are parsed in one place.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -19,6 +19,7 @@
 import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewayMetrics;
 import io.laburnummoor.gateway.process.GatewayState;
+import io.laburnummoor.gateway.process.SocketAddresses;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,7 +44,6 @@
     /** Pause after a failed call. */
     private static final long RETRY_MILLIS = 250;
 
-    private static final String ADDRESS_PATTERN = "[0-9.]+:[0-9]{1,5}";
     private final ChangeFeed feed;
     private final StoreDocuments documents;
     private final GatewayState state;
@@ -102,7 +102,7 @@
                 pauseMillis = registry.isCatchingUp(clock.nowMillis()) ? CATCH_UP_PAUSE_MILLIS : POLL_PAUSE_MILLIS;
             } catch (LaburnummoorException failure) {
                 onStoreFailure(failure);
-            } catch (RuntimeException fault) {
+            } catch (RuntimeException | StackOverflowError fault) {
                 version = -1;
                 log.line("store_follower_fault").text("error", fault.toString()).write();
             }
@@ -164,21 +164,44 @@
     private void apply(List<ChangeFeed.Change> changes) {
         boolean listChanged = false;
         for (ChangeFeed.Change each : changes) {
-            if (documents.isConfig(each.key())) {
-                applyConfig(each);
-            } else if (documents.isInstance(each.key())) {
-                listChanged |= applyInstance(each);
-            } else if (each.key().startsWith(RouterRegistration.KEY_PREFIX)) {
-                applyRouter(each);
-            } else {
-                rolloutFollower.apply(each);
-            }
+            listChanged |= applyIfReadable(each);
         }
         if (listChanged) {
             publish();
         }
     }
 
+    /**
+     * Applies a change and returns whether it changed the list of upstreams. A document that cannot be read is skipped,
+     * because it must not hold up the others: the store would return it again at each read.
+     */
+    private boolean applyIfReadable(ChangeFeed.Change change) {
+        try {
+            return apply(change);
+        } catch (RuntimeException | StackOverflowError fault) {
+            log.line("store_document_ignored")
+                    .text("key", change.key())
+                    .number("store_version", change.version())
+                    .text("error", fault.toString())
+                    .write();
+            return false;
+        }
+    }
+
+    private boolean apply(ChangeFeed.Change change) {
+        if (documents.isInstance(change.key())) {
+            return applyInstance(change);
+        }
+        if (documents.isConfig(change.key())) {
+            applyConfig(change);
+        } else if (change.key().startsWith(RouterRegistration.KEY_PREFIX)) {
+            applyRouter(change);
+        } else {
+            rolloutFollower.apply(change);
+        }
+        return false;
+    }
+
     private void applyConfig(ChangeFeed.Change change) {
         String value = change.value();
         ForwardConfig read = value == null ? null : documents.readConfig(value);
@@ -203,12 +226,11 @@
         if (name.equals(routerName)) {
             return;
         }
-        if (address == null || !address.matches(ADDRESS_PATTERN)) {
+        InetSocketAddress parsed = address == null ? null : SocketAddresses.parse(address);
+        if (parsed == null) {
             addressByRouter.remove(name);
         } else {
-            int colon = address.lastIndexOf(':');
-            int port = Integer.parseInt(address.substring(colon + 1));
-            addressByRouter.put(name, new InetSocketAddress(address.substring(0, colon), port));
+            addressByRouter.put(name, parsed);
         }
         state.replacePeerAddresses(List.copyOf(addressByRouter.values()));
         log.line(address == null ? "router_gone" : "router_listed")
