Spread over equal engines only after a loss

Change: first attempts select by running requests as before; attempts after a loss, when other routers select at the same moment, spread. InstanceSelectorTest has its old rows again.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
@@ -23,9 +23,8 @@
     private static final double KV_CACHE_TOKENS_PER_REQUEST = 8_000;
 
     /**
-     * Weight of a full engine; it grows with the square of the occupancy, because running generations hardly slow each
-     * other down until slots or KV cache run out. Engines with few of them count as equal, so that simultaneous
-     * selections of several routers spread over them.
+     * Weight of a full engine in a selection after a loss; it grows with the square of the occupancy, so that engines
+     * with few generations count as equal and simultaneous selections of several routers spread over them.
      */
     private static final double OCCUPANCY_WEIGHT = 8;
 
@@ -41,10 +40,10 @@
     /** Spreads the selections of routers that do not see each other's requests over different upstreams. */
     private static final double ROUTER_SPREAD = 0.9;
     /**
-     * Temperature of the spread over engines: a router prefers an engine to another one with a probability that falls
+     * Temperature of the spread after a loss: a router prefers an engine to another one with a probability that falls
      * by a factor of e for each such difference of their loads. Small beside the weight of a prompt to prefill.
      */
-    private static final double ENGINE_SPREAD = 0.4;
+    private static final double WIDE_SPREAD = 0.4;
 
     /** Draw that selects the old version unless the new one has all traffic. */
     private static final double OLD_VERSION_DRAW = Math.nextDown(1.0);
@@ -87,7 +86,7 @@
                 each -> each.isInService(nowMillis)
                         && !criteria.excludedIds.contains(each.instance().id())
                         && rollouts.allows(each.instance(), versionDraw),
-                each -> score(each, criteria.service, nowMillis)
+                each -> score(each, criteria.service, criteria.afterLoss, nowMillis)
                         + (hasCapacity(each, criteria.service, promptTokens) ? 0 : FULL_PENALTY)
                         - each.cachedPrefixTokens(criteria.prompt, nowMillis) / PREFILL_TOKENS_PER_REQUEST);
     }
@@ -110,7 +109,8 @@
                         && !each.instance().failureDomain().equals(primary.failureDomain())
                         && each.instance().version().equals(primary.version())
                         && hasCapacity(each, service, tokens),
-                each -> score(each, service, nowMillis) + totalKvCacheTokens(each) / KV_CACHE_TOKENS_PER_REQUEST);
+                each -> score(each, service, false, nowMillis)
+                        + totalKvCacheTokens(each) / KV_CACHE_TOKENS_PER_REQUEST);
     }
 
     private boolean hasCapacity(InstanceState each, ForwardService service, long tokens) {
@@ -139,9 +139,11 @@
         return best;
     }
 
-    private double score(InstanceState each, ForwardService service, long nowMillis) {
+    private double score(InstanceState each, ForwardService service, boolean afterLoss, long nowMillis) {
         UpstreamInstance instance = each.instance();
-        double score = service.isEngine() ? engineLoad(each, service, nowMillis) : requestCount(each, nowMillis);
+        boolean spreadWidely = afterLoss && service.isEngine();
+        double score = spreadWidely ? occupancyLoad(each, service, nowMillis) : requestCount(each, nowMillis);
+        score += service.isEngine() ? totalPrefillTokens(each) / PREFILL_TOKENS_PER_REQUEST : 0;
         score += each.failureRate() * FAILURE_RATE_PENALTY;
         score += each.isEjected(nowMillis) ? EJECTED_PENALTY : 0;
         score += each.isFull(nowMillis) ? FULL_PENALTY : 0;
@@ -150,17 +152,17 @@
                 : 0;
         score += instance.failureDomain().equals(failureDomain) ? 0 : OTHER_DOMAIN_PENALTY;
         double rank = RendezvousHash.toUnitInterval(RendezvousHash.weight(routerHash, each.idHash()));
-        return score + (service.isEngine() ? engineSpread(rank) : ROUTER_SPREAD * rank);
+        return score + (spreadWidely ? wideSpread(rank) : ROUTER_SPREAD * rank);
     }
 
     /**
-     * Returns the spread of an engine by its rank for this router. The Gumbel distribution keeps the selections of many
+     * Returns the spread after a loss by the rank of an engine for this router. The Gumbel distribution keeps the selections of many
      * routers proportional to the engines' weights, whereas evenly distributed ranks would leave only the few engines
      * with the very lowest load.
      */
-    private static double engineSpread(double rank) {
+    private static double wideSpread(double rank) {
         double positive = Math.max(rank, Double.MIN_NORMAL);
-        return ENGINE_SPREAD * Math.log(-Math.log(positive));
+        return WIDE_SPREAD * Math.log(-Math.log(positive));
     }
 
     private int requestCount(InstanceState each, long nowMillis) {
@@ -168,13 +170,13 @@
         return Math.max(each.estimatedLoad(nowMillis), known);
     }
 
-    private double engineLoad(InstanceState each, ForwardService service, long nowMillis) {
+    private double occupancyLoad(InstanceState each, ForwardService service, long nowMillis) {
         double occupancy = (double) requestCount(each, nowMillis)
                 / Math.max(1, each.instance().slots());
         if (service.kvCacheTokens() > 0) {
             occupancy = Math.max(occupancy, (double) totalKvCacheTokens(each) / service.kvCacheTokens());
         }
-        return OCCUPANCY_WEIGHT * occupancy * occupancy + totalPrefillTokens(each) / PREFILL_TOKENS_PER_REQUEST;
+        return OCCUPANCY_WEIGHT * occupancy * occupancy;
     }
 
     /**
@@ -184,9 +186,14 @@
      * @param excludedIds upstreams that must not be used
      * @param prompt parts of a generation's prompt, empty for other requests
      * @param versionDraw random number from 0 to 1 that selects the version during a rollout
+     * @param afterLoss whether an earlier attempt was lost, so that other routers may select at the same moment
      */
     public record Criteria(
-            ForwardService service, Set<String> excludedIds, List<PromptPart> prompt, double versionDraw) {
+            ForwardService service,
+            Set<String> excludedIds,
+            List<PromptPart> prompt,
+            double versionDraw,
+            boolean afterLoss) {
         /** Returns the length of the prompt in tokens. */
         long promptTokens() {
             return prompt.stream().mapToLong(PromptPart::tokens).sum();
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceSelectorTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceSelectorTest.java
@@ -29,7 +29,7 @@
     private static final ForwardService DRAFTER = new ForwardService("drafter", 210, true, 24, 88_000, true);
 
     private static final InstanceSelector.Criteria CRITERIA =
-            new InstanceSelector.Criteria(DRAFTER, Set.of(), List.of(), 0.5);
+            new InstanceSelector.Criteria(DRAFTER, Set.of(), List.of(), 0.5, false);
 
     private final DomainOutageDetector domainOutages = new DomainOutageDetector();
     private final PeerLoads peerLoads = new PeerLoads();
@@ -92,7 +92,8 @@
     void nothingIsSelectedWhenAllAreExcluded(String service) {
         ForwardService named = new ForwardService(service, 210, true, 24, 88_000, true);
         assertThat(
-                selector.select(table, new InstanceSelector.Criteria(named, Set.of("s-1", "a-1"), List.of(), 0.5), NOW),
+                selector.select(
+                        table, new InstanceSelector.Criteria(named, Set.of("s-1", "a-1"), List.of(), 0.5, false), NOW),
                 is(nullValue()));
     }
 
@@ -120,10 +121,10 @@
 
     static Stream<Arguments> cachedPrefixes() {
         return Stream.of(
-                Arguments.of("whole prompt", Set.of("m/shared", "m/own"), 12, NOW, true),
-                Arguments.of("own part without the one before it", Set.of("m/own"), 12, NOW, false),
-                Arguments.of("whole prompt on a busy upstream", Set.of("m/shared", "m/own"), 20, NOW, false),
-                Arguments.of("told long ago", Set.of("m/shared", "m/own"), 12, NOW - 60_000, false));
+                Arguments.of("whole prompt", Set.of("m/shared", "m/own"), 2, NOW, true),
+                Arguments.of("own part without the one before it", Set.of("m/own"), 2, NOW, false),
+                Arguments.of("whole prompt on a busy upstream", Set.of("m/shared", "m/own"), 6, NOW, false),
+                Arguments.of("told long ago", Set.of("m/shared", "m/own"), 2, NOW - 60_000, false));
     }
 
     /** A cached prefix is worth some waiting, because another prefill of it delays all generations of the engine. */
@@ -136,7 +137,7 @@
         sapporo.recordPrefixCache(cached, reportedAtMillis);
 
         InstanceState selected =
-                selector.select(table, new InstanceSelector.Criteria(DRAFTER, Set.of(), prompt, 0.5), NOW);
+                selector.select(table, new InstanceSelector.Criteria(DRAFTER, Set.of(), prompt, 0.5, false), NOW);
 
         assertThat(selected, is(preferred ? sapporo : asahikawa));
     }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/SimultaneousSelectionTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/SimultaneousSelectionTest.java
@@ -55,7 +55,7 @@
             InstanceSelector selector = new InstanceSelector(
                     "router-" + router, "domain-9", new DomainOutageDetector(), new PeerLoads(), new OrderedRollouts());
             InstanceSelector.Criteria criteria = new InstanceSelector.Criteria(
-                    service, Set.of(), List.of(new PromptPart("m/" + router, PROMPT_TOKENS)), 0.5);
+                    service, Set.of(), List.of(new PromptPart("m/" + router, PROMPT_TOKENS)), 0.5, true);
             InstanceState selected = selector.select(table, criteria, NOW);
             assertThat(selected, is(notNullValue()));
             if (selected != null) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -67,7 +67,7 @@
     InstanceState selectUpstream(Set<String> failedIds) {
         long now = context.clock().nowMillis();
         InstanceSelector.Criteria criteria = new InstanceSelector.Criteria(
-                service, failedIds, request.callerHead().promptParts(), versionDraw);
+                service, failedIds, request.callerHead().promptParts(), versionDraw, !failedIds.isEmpty());
         return context.selector().select(context.state().instances(), criteria, now);
     }
 
