Read the store with a few routers and pass the changes on

Change: StoreReaders selects the square root of the fleet, at least five, by rendezvous hashing; the others read from them over the internal HTTP port and fall back to the store at once when one is silent, behind or lacks the history. The age of the reader's own confirmation counts from the start of the call, so the bound on revocations holds for whoever reads. A message of the load exchange goes to a random subset of 32 routers: always the same ones were left out. A stopping router accepts streams as long as they fit (it refused them after 1 s). Tests: StoreReadersTest, RecentChangesTest, RelayedChangeFeedTest, PeerSubsetTest, DrainPolicyTest.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ChangeFeed.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ChangeFeed.java
@@ -26,8 +26,20 @@
      *
      * @param changes changes in order
      * @param version store version after the changes
+     * @param currentAtOffsetMillis time from the start of the call to a moment at which no later change existed;
+     *     negative if another router had read the changes before the call
      */
-    record Batch(List<Change> changes, long version) {}
+    record Batch(List<Change> changes, long version, long currentAtOffsetMillis) {
+        /** Creates a batch that was current when the call started. */
+        public Batch(List<Change> changes, long version) {
+            this(changes, version, 0);
+        }
+
+        /** Returns whether the batch was read from another router. */
+        public boolean isRelayed() {
+            return currentAtOffsetMillis < 0;
+        }
+    }
 
     /**
      * The new state of one key.
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ConfigFreshness.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ConfigFreshness.java
@@ -49,5 +49,10 @@
     }
 
     /** The start time of a store read on both clocks; not valid until a read is confirmed. */
-    public record ReadStart(long monotonicMillis, long wallMillis, boolean valid) {}
+    public record ReadStart(long monotonicMillis, long wallMillis, boolean valid) {
+        /** Returns a moment before or after this one. */
+        public ReadStart plus(long offsetMillis) {
+            return new ReadStart(monotonicMillis + offsetMillis, wallMillis + offsetMillis, valid);
+        }
+    }
 }
--- /dev/null
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/RecentChangesTest.java
@@ -0,0 +1,60 @@
+package io.laburnummoor.core.process;
+
+import java.util.List;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** Guards against changes that a router which reads them from another one misses or takes for complete. */
+final class RecentChangesTest {
+    private static final long START = 100;
+
+    /** The history starts at version 100 and has one change for each version up to the given one. */
+    @ParameterizedTest(name = "changes to {0}, asked after {1}: {2}")
+    @CsvSource({
+        "100, 100, 0",
+        "110, 100, 10",
+        "110, 105, 5",
+        "110, 110, 0",
+        "110, 120, 0",
+        "110, 99, -1",
+        "700, 600, 100",
+        "700, 188, 512",
+        "700, 187, -1",
+    })
+    void exactlyTheLaterChangesAreReturned(long end, long after, long expected) {
+        RecentChanges changes = new RecentChanges();
+        changes.restart(START);
+        for (long version = START + 1; version <= end; version++) {
+            changes.append(new ChangeFeed.Batch(List.of(change(version)), version));
+        }
+
+        ChangeFeed.Batch batch = changes.after(after);
+
+        assertThat(batch == null ? -1L : batch.changes().size(), is(expected));
+        if (batch != null) {
+            assertThat(batch.version(), is(Math.max(end, after)));
+            assertThat(
+                    batch.changes().stream().map(ChangeFeed.Change::version).toList(),
+                    is(LongStream.rangeClosed(after + 1, end).boxed().toList()));
+        }
+    }
+
+    @ParameterizedTest(name = "asked after {0}")
+    @CsvSource({"0", "100", "9999"})
+    void nothingIsKnownWithoutACompleteRead(long after) {
+        RecentChanges changes = new RecentChanges();
+        assertThat(changes.after(after) == null, is(true));
+        changes.restart(START);
+        changes.clear();
+        assertThat(changes.after(after) == null, is(true));
+    }
+
+    private static ChangeFeed.Change change(long version) {
+        return new ChangeFeed.Change("key", "value", version);
+    }
+}
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -225,7 +225,11 @@
         }
         long sinceStop = gateway.state().sinceStopMillis(now());
         if (gateway.state().isDraining()
-                && !DrainPolicy.accepts(route, sinceStop, gateway.settings().stopMillis())) {
+                && !DrainPolicy.accepts(
+                        route,
+                        sinceStop,
+                        gateway.settings().stopMillis(),
+                        gateway.state().streamDuration().upperMillis())) {
             gateway.log()
                     .line("request_refused")
                     .text("request", id)
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.locks.LockSupport;
 
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.ChangeFeed;
 import io.laburnummoor.core.process.DrainPolicy;
 import io.laburnummoor.gateway.connection.CallerChannelInitializer;
+import io.laburnummoor.gateway.version.RelayedChanges;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -77,11 +79,8 @@
     @Override
     public void start() {
         GatewaySettings settings = context.settings();
-        listen(settings.readyPort(), new StatusEndpoint(this::readinessReply));
-        listen(
-                settings.metricsPort(),
-                new StatusEndpoint(() -> new StatusEndpoint.Reply(
-                        HttpResponseStatus.OK, context.metrics().toText())));
+        listen(settings.readyPort(), new StatusEndpoint(target -> readinessReply()));
+        listen(settings.metricsPort(), new StatusEndpoint(this::internalReply));
         context.state().awaitInitialState(INITIAL_STATE_TIMEOUT_MILLIS);
         new ServerBootstrap()
                 .group(eventLoops)
@@ -97,6 +96,20 @@
                 readiness.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, EMPTY);
     }
 
+    private StatusEndpoint.Reply internalReply(String target) {
+        long version = RelayedChanges.versionOf(target);
+        if (version < 0) {
+            return new StatusEndpoint.Reply(
+                    HttpResponseStatus.OK, context.metrics().toText());
+        }
+        ChangeFeed.Batch changes = context.state().recentChanges().after(version);
+        return changes == null
+                ? new StatusEndpoint.Reply(HttpResponseStatus.GONE, EMPTY)
+                : new StatusEndpoint.Reply(
+                        HttpResponseStatus.OK,
+                        RelayedChanges.encode(changes, context.configFreshness().ageMillis()));
+    }
+
     private void listen(int port, ChannelInitializer<SocketChannel> initializer) {
         new ServerBootstrap()
                 .group(eventLoops)
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -1,7 +1,7 @@
 package io.laburnummoor.gateway.process;
 
 import java.net.InetSocketAddress;
-import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -10,6 +10,8 @@
 
 import io.laburnummoor.core.Snapshot;
 import io.laburnummoor.core.process.InstanceTable;
+import io.laburnummoor.core.process.RecentChanges;
+import io.laburnummoor.core.process.StreamDurationEstimator;
 import io.laburnummoor.core.version.CallerLimits;
 import io.laburnummoor.core.version.ForwardConfig;
 import org.jspecify.annotations.Nullable;
@@ -26,7 +28,9 @@
     private final CountDownLatch initialized = new CountDownLatch(1);
     private final AtomicLong stoppedAtMillis = new AtomicLong(RUNNING);
     private final AtomicInteger openRequests = new AtomicInteger();
-    private final Snapshot<List<InetSocketAddress>> peerAddresses = new Snapshot<>(List.of());
+    private final Snapshot<Map<String, InetSocketAddress>> peers = new Snapshot<>(Map.of());
+    private final RecentChanges recentChanges = new RecentChanges();
+    private final StreamDurationEstimator streamDuration = new StreamDurationEstimator();
 
     /** Returns the current configuration, or null if none is known. */
     public @Nullable ForwardConfig config() {
@@ -95,18 +99,28 @@
         return openRequests.get();
     }
 
-    /** Returns the UDP addresses of the other routers. */
-    public List<InetSocketAddress> peerAddresses() {
-        return peerAddresses.get();
+    /** Returns the UDP addresses of the other routers by name. */
+    public Map<String, InetSocketAddress> peers() {
+        return peers.get();
     }
 
     /** Replaces the UDP addresses of the other routers. */
-    public void replacePeerAddresses(List<InetSocketAddress> addresses) {
-        peerAddresses.replace(List.copyOf(addresses));
+    public void replacePeers(Map<String, InetSocketAddress> addressByRouter) {
+        peers.replace(Map.copyOf(addressByRouter));
+    }
+
+    /** Returns the latest changes of the store that this router has applied. */
+    public RecentChanges recentChanges() {
+        return recentChanges;
+    }
+
+    /** Returns the estimate of the duration of streams. */
+    public StreamDurationEstimator streamDuration() {
+        return streamDuration;
     }
 
     /** Returns the number of routers that share the retry budget, this one included. */
     public int routerCount() {
-        return peerAddresses.get().size() + 1;
+        return peers.get().size() + 1;
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -17,6 +17,7 @@
 import io.laburnummoor.core.process.EndedIncarnationTable;
 import io.laburnummoor.core.process.OrderedRollouts;
 import io.laburnummoor.core.process.PeerLoads;
+import io.laburnummoor.core.process.PeerSubset;
 import io.laburnummoor.core.process.RouterLoad;
 import io.laburnummoor.core.version.VersionCounts;
 import io.laburnummoor.wire.connection.LoadCodec;
@@ -44,7 +45,7 @@
     private static final long COALESCE_MILLIS = 5;
     /** Interval of periodic messages, which make up for lost ones and let the others detect a dead router. */
     private static final long SEND_INTERVAL_MILLIS = 1_000;
-    /** Limits the messages for one change; with more routers, each sends only to the first ones of its list. */
+    /** Limits the messages for one change; in larger fleets each message goes to another random subset. */
     private static final int MAX_PEERS = 32;
     /** Crash suspects are rare; the latest ones are sent. */
     private static final int MAX_SUSPECTS = 4;
@@ -131,13 +132,13 @@
     private void send() {
         sendScheduled.set(false);
         Channel open = channel;
-        List<InetSocketAddress> addresses = state.peerAddresses();
+        List<InetSocketAddress> addresses = List.copyOf(state.peers().values());
         if (open == null || addresses.isEmpty()) {
             return;
         }
         try {
             byte[] bytes = LoadCodec.encode(ownLoad());
-            for (InetSocketAddress peer : addresses.subList(0, Math.min(MAX_PEERS, addresses.size()))) {
+            for (InetSocketAddress peer : PeerSubset.select(addresses, MAX_PEERS, ThreadLocalRandom.current())) {
                 open.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer), open.voidPromise());
             }
             open.flush();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/StatusEndpoint.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/StatusEndpoint.java
@@ -1,6 +1,6 @@
 package io.laburnummoor.gateway.process;
 
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -18,13 +18,16 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
-/** Answers every request with the current result of one function. Serves the readiness check and the metrics. */
+/**
+ * Answers each request with the result of one function of its target. Serves the readiness check, the metrics and the
+ * changes of the store for other routers.
+ */
 final class StatusEndpoint extends ChannelInitializer<SocketChannel> {
     private static final int MAX_REQUEST_BYTES = 4_096;
 
-    private final Supplier<Reply> reply;
+    private final Function<String, Reply> reply;
 
-    StatusEndpoint(Supplier<Reply> reply) {
+    StatusEndpoint(Function<String, Reply> reply) {
         this.reply = reply;
     }
 
@@ -41,7 +44,7 @@
     private final class Responder extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Reply current = reply.get();
+            Reply current = reply.apply(request.uri());
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, current.status(), Unpooled.wrappedBuffer(current.body()));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, current.body().length);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -229,6 +229,7 @@
         history.record(attempt.number(), AttemptStatus.ANSWERED);
         attempt.target().recordSuccess();
         trace.attemptEnded("answered");
+        context.state().streamDuration().record(now() - request.arrivedAtMillis());
         exchange.endStream();
         finish("answered", HttpResponseStatus.OK.code());
     }
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChangeFeed.java
@@ -0,0 +1,120 @@
+package io.laburnummoor.gateway.version;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.process.ChangeFeed;
+import io.laburnummoor.core.process.StoreReaders;
+import io.laburnummoor.gateway.process.DecisionLog;
+import io.laburnummoor.gateway.process.GatewaySettings;
+import io.laburnummoor.gateway.process.GatewayState;
+import io.laburnummoor.wire.process.JsonHttp;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads changes from another router that reads the store, and from the store itself if this router is one of those, or
+ * if the other router does not answer, lags behind or lacks the history. Used by the store thread only.
+ */
+public final class RelayedChangeFeed implements ChangeFeed {
+    /** Timeout of the client for other routers; round trips take a few milliseconds. */
+    public static final int TIMEOUT_MILLIS = 200;
+    /** Age from which the other router's view is not used: its own connection to the store is disturbed. */
+    static final long MAX_AGE_MILLIS = 1_500;
+    /** Time for which a router that failed is not asked again. */
+    private static final long AVOID_MILLIS = 3_000;
+    /** Routers asked for one call before the store is read, so that a call takes no longer than usual. */
+    private static final int MAX_SOURCES = 2;
+
+    private static final int OK = 200;
+
+    private final ChangeFeed store;
+    private final JsonHttp http;
+    private final GatewaySettings settings;
+    private final GatewayState state;
+    private final DecisionLog log;
+    private final Clock clock;
+    private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
+    private String source = "";
+
+    /**
+     * Creates a feed.
+     *
+     * @param store feed of the store itself
+     * @param http client with a timeout of {@link #TIMEOUT_MILLIS}
+     */
+    public RelayedChangeFeed(
+            ChangeFeed store,
+            JsonHttp http,
+            GatewaySettings settings,
+            GatewayState state,
+            DecisionLog log,
+            Clock clock) {
+        this.store = store;
+        this.http = http;
+        this.settings = settings;
+        this.state = state;
+        this.log = log;
+        this.clock = clock;
+    }
+
+    @Override
+    public Batch readAll(String prefix) {
+        return store.readAll(prefix);
+    }
+
+    @Override
+    public @Nullable Batch changesAfter(String prefix, long version, long waitMillis) {
+        Map<String, InetSocketAddress> peers = state.peers();
+        List<String> sources = StoreReaders.sourcesOf(settings.name(), peers.keySet());
+        long now = clock.nowMillis();
+        avoidedUntilMillis.values().removeIf(until -> until <= now);
+        int asked = 0;
+        for (String each : sources) {
+            InetSocketAddress address = peers.get(each);
+            if (asked == MAX_SOURCES) {
+                break;
+            }
+            if (address == null || avoidedUntilMillis.containsKey(each)) {
+                continue;
+            }
+            asked++;
+            Batch relayed = ask(address, version);
+            if (relayed != null) {
+                useSource(each);
+                return relayed;
+            }
+            avoidedUntilMillis.put(each, now + AVOID_MILLIS);
+        }
+        useSource("store");
+        return store.changesAfter(prefix, version, waitMillis);
+    }
+
+    /** Returns the changes that a router knows, or null if it does not answer or cannot be relied on. */
+    private @Nullable Batch ask(InetSocketAddress address, long version) {
+        URI uri = URI.create(
+                "http://" + address.getHostString() + ":" + settings.metricsPort() + RelayedChanges.PATH + version);
+        try {
+            JsonHttp.Reply reply = http.exchange("GET", uri, null);
+            Batch batch = reply.status() == OK ? RelayedChanges.decode(reply.body()) : null;
+            return batch == null || -batch.currentAtOffsetMillis() > MAX_AGE_MILLIS ? null : batch;
+        } catch (IOException unreachable) {
+            log.line("relay_unreachable")
+                    .text("address", address.toString())
+                    .text("error", unreachable.toString())
+                    .write();
+            return null;
+        }
+    }
+
+    private void useSource(String next) {
+        if (!next.equals(source)) {
+            source = next;
+            log.line("changes_read_from").text("source", next).write();
+        }
+    }
+}
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -15,6 +15,7 @@
 import io.laburnummoor.core.process.ChangeFeed;
 import io.laburnummoor.core.process.ConfigFreshness;
 import io.laburnummoor.core.process.InstanceRegistry;
+import io.laburnummoor.core.process.StorePollSchedule;
 import io.laburnummoor.core.version.ForwardConfig;
 import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewayMetrics;
@@ -28,21 +29,8 @@
  * however many keys change.
  */
 public final class StoreFollower implements Service {
-    /** Pause between two calls; together with the call itself it limits the age of the known state. */
-    private static final long POLL_PAUSE_MILLIS = 750;
-    /**
-     * Pause while upstreams may still be listed again after an outage of the store. It is shorter, since the registry
-     * distinguishes an expired lease from an upstream that leaves by the time at which the removal arrives.
-     */
-    private static final long CATCH_UP_PAUSE_MILLIS = 350;
-    /**
-     * Longest wait for changes inside a call; also the longest time that a call delays the confirmation that the
-     * configuration is current.
-     */
-    private static final long LONG_POLL_MILLIS = 250;
-
-    /** Pause after a failed call. */
-    private static final long RETRY_MILLIS = 250;
+    private static final long UNKNOWN_VERSION = -1;
+    private static final ChangeFeed.Batch NO_CHANGES = new ChangeFeed.Batch(List.of(), UNKNOWN_VERSION);
 
     private final ChangeFeed feed;
     private final StoreDocuments documents;
@@ -56,7 +44,8 @@
     private final Map<String, InetSocketAddress> addressByRouter = new TreeMap<>();
     private final String routerName;
     private final RolloutFollower rolloutFollower;
-    private long version = -1;
+    private long version = UNKNOWN_VERSION;
+    private ChangeFeed.Batch last = NO_CHANGES;
     private volatile boolean stopping;
 
     /** Creates a follower. */
@@ -96,14 +85,14 @@
 
     private void run() {
         while (!stopping) {
-            long pauseMillis = RETRY_MILLIS;
+            long pauseMillis = StorePollSchedule.RETRY_MILLIS;
             try {
                 poll();
-                pauseMillis = registry.isCatchingUp(clock.nowMillis()) ? CATCH_UP_PAUSE_MILLIS : POLL_PAUSE_MILLIS;
+                pauseMillis = StorePollSchedule.pauseMillis(last, isCatchingUp());
             } catch (LaburnummoorException failure) {
                 onStoreFailure(failure);
             } catch (RuntimeException | StackOverflowError fault) {
-                version = -1;
+                forgetVersion();
                 log.line("store_follower_fault").text("error", fault.toString()).write();
             }
             if (registry.dropExpired(clock.nowMillis())) {
@@ -115,26 +104,42 @@
 
     private void poll() {
         ConfigFreshness.ReadStart readStart = freshness.startRead();
-        ChangeFeed.Batch batch = version < 0 ? null : feed.changesAfter("", version, LONG_POLL_MILLIS);
+        ChangeFeed.Batch batch = version == UNKNOWN_VERSION ? null : readChanges();
         if (batch == null) {
             readAll();
         } else {
             apply(batch.changes());
             version = batch.version();
+            state.recentChanges().append(batch);
+            last = batch;
         }
         metrics.storeCall(true);
-        freshness.confirmRead(readStart);
+        freshness.confirmRead(readStart.plus(last.currentAtOffsetMillis()));
         if (registry.recordStoreAvailable(clock.nowMillis())) {
             log.line("store_connected").number("store_version", version).write();
         }
     }
 
+    private ChangeFeed.@Nullable Batch readChanges() {
+        return feed.changesAfter("", version, StorePollSchedule.waitMillis(last, isCatchingUp()));
+    }
+
+    private boolean isCatchingUp() {
+        return registry.isCatchingUp(clock.nowMillis());
+    }
+
+    private void forgetVersion() {
+        version = UNKNOWN_VERSION;
+        last = NO_CHANGES;
+        state.recentChanges().clear();
+    }
+
     private void readAll() {
-        if (version >= 0) {
+        if (version != UNKNOWN_VERSION) {
             log.line("store_history_lost").number("store_version", version).write();
             registry.recordStoreUnavailable(clock.nowMillis());
         }
-        version = -1;
+        forgetVersion();
         ChangeFeed.Batch config = feed.readAll(documents.configPrefix());
         ChangeFeed.Batch listed = feed.readAll(documents.instancePrefix());
         apply(config.changes());
@@ -148,11 +153,12 @@
                 listed.changes().stream().map(ChangeFeed.Change::key).collect(Collectors.toSet()), clock.nowMillis());
         publish();
         version = Math.min(config.version(), listed.version());
+        state.recentChanges().restart(version);
     }
 
     private void onStoreFailure(LaburnummoorException failure) {
         metrics.storeCall(false);
-        if (registry.recordStoreUnavailable(clock.nowMillis()) || version < 0) {
+        if (registry.recordStoreUnavailable(clock.nowMillis()) || version == UNKNOWN_VERSION) {
             log.line("store_lost")
                     .text("error", failure.getMessage())
                     .number("store_version", version)
@@ -232,7 +238,7 @@
         } else {
             addressByRouter.put(name, parsed);
         }
-        state.replacePeerAddresses(List.copyOf(addressByRouter.values()));
+        state.replacePeers(addressByRouter);
         log.line(address == null ? "router_gone" : "router_listed")
                 .text("router", name)
                 .number("routers", state.routerCount())
