Keep a suspended or lagging controller from acting after a hand-over

Causes, each shown by a test that failed first (OrderedRolloutsTest): a controller suspended between storing its step and publishing the status put 'running' in the place of its successor's result; a router that had not read the latest order replaced its step by the first step of the order before. Change: the step is read again after the status' version and before the status is written; a step of a newer order is left alone.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/OrderedRolloutController.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/OrderedRolloutController.java
@@ -63,6 +63,10 @@
         String key = documents.stepKey(service);
         VersionedValue stored = store.get(key);
         RolloutStep known = stored == null ? null : documents.decodeStep(stored.value());
+        if (known != null && known.orderNumber() > active.order().number()) {
+            // This router has not read the latest order yet; another one already acts on it.
+            return;
+        }
         RolloutStep current =
                 known != null && known.orderNumber() == active.order().number()
                         ? known
@@ -105,11 +109,23 @@
         String status = documents.encodeStatus(step);
         VersionedValue stored = store.get(key);
         if (stored == null || !stored.value().equals(status)) {
+            if (!isStoredStep(service, step)) {
+                return;
+            }
             store.compareAndSwap(key, stored == null ? KeyValueStore.ABSENT : stored.version(), status);
         }
         rollouts.recordStatus(service, status);
     }
 
+    /**
+     * Returns whether a step is still the stored one. Read after the version of the status: a router that was suspended
+     * since it stored its step must not put an older status in the place of its successor's.
+     */
+    private boolean isStoredStep(String service, RolloutStep step) {
+        VersionedValue stored = store.get(documents.stepKey(service));
+        return stored != null && documents.decodeStep(stored.value()).equals(step);
+    }
+
     /** Keys and encoding of the controller's stored data. */
     public interface StepDocuments {
         /** Returns the key of the current step of a service's rollout. */
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/OrderedRolloutsTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/OrderedRolloutsTest.java
@@ -11,6 +11,7 @@
 import io.laburnummoor.core.version.RolloutOrder;
 import io.laburnummoor.core.version.RolloutState;
 import io.laburnummoor.core.version.RolloutStep;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -120,6 +121,122 @@
         assertThat(List.of(RolloutState.Phase.ROLLED_BACK, RolloutState.Phase.COMPLETED), hasItem(stored.phase()));
     }
 
+    /**
+     * Two routers act for a moment around a hand-over: the first one is suspended before one of its store calls, and the
+     * second one ends the rollout meanwhile. The operator acts on the status, so it must not go back to running.
+     */
+    @ParameterizedTest(name = "suspended before its store call {0}, bad {1}")
+    @CsvSource({
+        "1, true",
+        "3, true",
+        "6, true",
+        "7, true",
+        "8, true",
+        "9, true",
+        "10, true",
+        "7, false",
+        "8, false",
+        "9, false",
+        "10, false"
+    })
+    void suspendedControllerCannotRevertStatus(int suspendedBeforeCall, boolean bad) {
+        FaultyStore store = new FaultyStore();
+        OrderedRollouts first = new OrderedRollouts();
+        OrderedRollouts second = new OrderedRollouts();
+        RolloutOrder order = new RolloutOrder("drafter", "v2", DURATION_MILLIS, 7);
+        first.addOrder(order, 0);
+        second.addOrder(order, 0);
+        OrderedRolloutController next = controller(store, second, "router-2");
+        OrderedRolloutController suspended = controller(
+                new SuspendedStore(store, suspendedBeforeCall, () -> {
+                    store.expireLeases();
+                    for (int i = 0; i < 40; i++) {
+                        second.recordAnswer(newInstance, "r-" + i % 2, bad);
+                        next.tick(i * TICK_MILLIS);
+                    }
+                }),
+                first,
+                "router-1");
+
+        suspended.tick(0);
+
+        TextDocuments documents = new TextDocuments();
+        RolloutStep step = documents.decodeStep(
+                Objects.requireNonNull(store.get("step/drafter")).value());
+        assertThat(step.phase(), is(bad ? RolloutState.Phase.ROLLED_BACK : RolloutState.Phase.COMPLETED));
+        assertThat(Objects.requireNonNull(store.get("status/drafter")).value(), is(documents.encodeStatus(step)));
+    }
+
+    /** A router that has not read the latest order yet must not start the order before it again. */
+    @ParameterizedTest(name = "order {0} is running, order {1} is known")
+    @CsvSource({"8, 7", "9, 7", "8, 8"})
+    void controllerThatLagsBehindCannotReplaceNewerOrder(long running, long known) {
+        FaultyStore store = new FaultyStore();
+        OrderedRollouts current = new OrderedRollouts();
+        current.addOrder(new RolloutOrder("drafter", "v3", DURATION_MILLIS, running), 0);
+        controller(store, current, "router-1").tick(0);
+        store.expireLeases();
+        OrderedRollouts lagging = new OrderedRollouts();
+        lagging.addOrder(new RolloutOrder("drafter", "v2", DURATION_MILLIS, known), 0);
+
+        controller(store, lagging, "router-2").tick(0);
+
+        RolloutStep step = new TextDocuments()
+                .decodeStep(Objects.requireNonNull(store.get("step/drafter")).value());
+        assertThat(step.orderNumber(), is(running));
+    }
+
+    /** Runs a task before one of its calls, as if the caller had been suspended there. */
+    private static final class SuspendedStore implements KeyValueStore {
+        private final KeyValueStore store;
+        private final Runnable meanwhile;
+        private int callsUntilSuspension;
+
+        private SuspendedStore(KeyValueStore store, int callsUntilSuspension, Runnable meanwhile) {
+            this.store = store;
+            this.callsUntilSuspension = callsUntilSuspension;
+            this.meanwhile = meanwhile;
+        }
+
+        private KeyValueStore afterSuspension() {
+            callsUntilSuspension--;
+            if (callsUntilSuspension == 0) {
+                meanwhile.run();
+            }
+            return store;
+        }
+
+        @Override
+        public @Nullable VersionedValue get(String key) {
+            return afterSuspension().get(key);
+        }
+
+        @Override
+        public long compareAndSwap(String key, long expectedVersion, String value, long leaseId) {
+            return afterSuspension().compareAndSwap(key, expectedVersion, value, leaseId);
+        }
+
+        @Override
+        public boolean delete(String key, long expectedVersion) {
+            return afterSuspension().delete(key, expectedVersion);
+        }
+
+        @Override
+        public long grantLease(long timeToLiveSeconds) {
+            return afterSuspension().grantLease(timeToLiveSeconds);
+        }
+
+        @Override
+        public boolean keepLeaseAlive(long leaseId) {
+            return afterSuspension().keepLeaseAlive(leaseId);
+        }
+
+        @Override
+        public @Nullable VersionedValue watch(String key, long knownVersion, long timeoutMillis) {
+            return afterSuspension().watch(key, knownVersion, timeoutMillis);
+        }
+    }
+
     /** Encodes steps as words. */
     private static final class TextDocuments implements OrderedRolloutController.StepDocuments {
         @Override
