Answer requests that a stopping gateway has just accepted, and retry on the last upstream

Change: the caller port closes first, then each request is refused, and those that were accepted are waited for. The last upstream is tried again while runs remain; runs are counted instead of upstreams. StreamPosition is split from ForwardSession.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
@@ -156,9 +156,9 @@
     }
 
     /**
-     * Returns the spread after a loss by the rank of an engine for this router. The Gumbel distribution keeps the selections of many
-     * routers proportional to the engines' weights, whereas evenly distributed ranks would leave only the few engines
-     * with the very lowest load.
+     * Returns the spread after a loss by the rank of an engine for this router. The Gumbel distribution keeps the
+     * selections of many routers proportional to the engines' weights, whereas evenly distributed ranks would leave
+     * only the few engines with the very lowest load.
      */
     private static double wideSpread(double rank) {
         double positive = Math.max(rank, Double.MIN_NORMAL);
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AttemptHistory.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AttemptHistory.java
@@ -82,16 +82,17 @@
         if (statuses.size() >= MAX_ATTEMPTS) {
             return false;
         }
-        return !mayHaveRun() || (retryPolicy.mayRetryAfterRun() && countUpstreamsThatMayRun() < maxUpstreams);
+        return !mayHaveRun() || (retryPolicy.mayRetryAfterRun() && countRuns() < maxUpstreams);
     }
 
-    private int countUpstreamsThatMayRun() {
-        Set<String> counted = new HashSet<>();
+    /** Returns how many attempts may have run on upstreams that are still alive; several may be on the same one. */
+    private int countRuns() {
+        int count = 0;
         for (int i = 0; i < statuses.size(); i++) {
             if (statuses.get(i).mayHaveRun() && !endedUpstreams.contains(upstreams.get(i))) {
-                counted.add(upstreams.get(i));
+                count++;
             }
         }
-        return counted.size();
+        return count;
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/StreamTimeouts.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/StreamTimeouts.java
@@ -62,7 +62,7 @@
     public long stallMillis() {
         double atPace = Math.max(STALL_FRACTION * gapTargetMillis, STALL_GAP_FACTOR * usualGapMillis);
         double afterStalls = atPace * (1 << Math.min(stallCount, MAX_DOUBLINGS));
-        return Math.round(Math.min(afterStalls, MAX_GAP_TARGETS * gapTargetMillis));
+        return Math.min(Math.round(afterStalls), MAX_GAP_TARGETS * gapTargetMillis);
     }
 
     /**
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/OrderedRolloutsTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/OrderedRolloutsTest.java
@@ -122,8 +122,8 @@
     }
 
     /**
-     * Two routers act for a moment around a hand-over: the first one is suspended before one of its store calls, and the
-     * second one ends the rollout meanwhile. The operator acts on the status, so it must not go back to running.
+     * Two routers act for a moment around a hand-over: the first one is suspended before one of its store calls, and
+     * the second one ends the rollout meanwhile. The operator acts on the status, so it must not go back to running.
      */
     @ParameterizedTest(name = "suspended before its store call {0}, bad {1}")
     @CsvSource({
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/SimultaneousSelectionTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/SimultaneousSelectionTest.java
@@ -33,7 +33,7 @@
     @ParameterizedTest(name = "{0} routers, {1} engines with up to {2} running generations")
     @CsvSource({"3, 17, 3", "12, 40, 2", "33, 67, 3", "33, 67, 1", "38, 54, 4", "100, 200, 4"})
     void routersSpreadOverTheEnginesThatAreFree(int routers, int engines, int maxRunning) {
-        long collisions = 0;
+        int collisions = 0;
         for (int round = 0; round < ROUNDS; round++) {
             collisions += collisionsOfOneRound(round, routers, engines, maxRunning);
         }
@@ -42,7 +42,7 @@
     }
 
     /** Returns how many prompts share an engine with another one. */
-    private static long collisionsOfOneRound(int round, int routers, int engines, int maxRunning) {
+    private static int collisionsOfOneRound(int round, int routers, int engines, int maxRunning) {
         Random random = new Random(round);
         ForwardService service = new ForwardService("drafter", 310, true, 12, 88_000, true);
         List<Integer> running = new ArrayList<>();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -224,12 +224,7 @@
             return;
         }
         long sinceStop = gateway.state().sinceStopMillis(now());
-        if (gateway.state().isDraining()
-                && !DrainPolicy.accepts(
-                        route,
-                        sinceStop,
-                        gateway.settings().stopMillis(),
-                        gateway.state().streamDuration().upperMillis())) {
+        if (gateway.state().isDraining() && !acceptsWhileDraining(route, sinceStop)) {
             gateway.log()
                     .line("request_refused")
                     .text("request", id)
@@ -255,6 +250,15 @@
         newSession.start();
     }
 
+    private boolean acceptsWhileDraining(ForwardRoute route, long sinceStopMillis) {
+        return !gateway.state().isRefusingAll()
+                && DrainPolicy.accepts(
+                        route,
+                        sinceStopMillis,
+                        gateway.settings().stopMillis(),
+                        gateway.state().streamDuration().upperMillis());
+    }
+
     private static @Nullable ForwardService serviceOf(ForwardConfig config, ForwardRoute route) {
         return config.service(route.selectService(ThreadLocalRandom.current().nextDouble()));
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -14,6 +14,7 @@
 import io.laburnummoor.gateway.connection.CallerChannelInitializer;
 import io.laburnummoor.gateway.version.RelayedChanges;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -22,6 +23,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.jspecify.annotations.Nullable;
 
 /** Serves callers, readiness checks and metrics, and drains on shutdown. */
 public final class GatewayServer implements Service {
@@ -43,6 +45,7 @@
     private final Readiness readiness;
     private final EventLoopGroup eventLoops;
     private final ServerSocketChannel callerSocket;
+    private @Nullable Channel callerListener;
 
     /**
      * Creates a server on the event loops of the process, which it shuts down when it stops.
@@ -82,13 +85,14 @@
         listen(settings.readyPort(), new StatusEndpoint(target -> readinessReply()));
         listen(settings.metricsPort(), new StatusEndpoint(this::internalReply));
         context.state().awaitInitialState(INITIAL_STATE_TIMEOUT_MILLIS);
-        new ServerBootstrap()
+        callerListener = new ServerBootstrap()
                 .group(eventLoops)
                 .channelFactory(() -> new NioServerSocketChannel(callerSocket))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new CallerChannelInitializer(context))
                 .register()
-                .syncUninterruptibly();
+                .syncUninterruptibly()
+                .channel();
     }
 
     private StatusEndpoint.Reply readinessReply() {
@@ -129,9 +133,11 @@
         context.state().beginDraining(start);
         long deadline = start + context.settings().stopMillis() - DrainPolicy.STOP_MARGIN_MILLIS;
         long earliestEnd = Math.min(deadline, start + BALANCER_DETECTION_MILLIS);
-        while (shouldWait(earliestEnd, deadline)) {
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
-        }
+        waitForOpenRequests(earliestEnd, deadline);
+        closeCallerListener();
+        context.state().refuseAll();
+        // Requests that were accepted since the last look are answered, too.
+        waitForOpenRequests(context.clock().nowMillis() + POLL_MILLIS, deadline);
         context.log()
                 .line("drained")
                 .number("open_requests", context.state().openRequestCount())
@@ -140,6 +146,19 @@
         eventLoops.shutdownGracefully(0, POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void closeCallerListener() {
+        Channel listener = callerListener;
+        if (listener != null) {
+            listener.close().syncUninterruptibly();
+        }
+    }
+
+    private void waitForOpenRequests(long earliestEnd, long deadline) {
+        while (shouldWait(earliestEnd, deadline)) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
+        }
+    }
+
     private boolean shouldWait(long earliestEnd, long deadline) {
         long now = context.clock().nowMillis();
         return now < deadline && (now < earliestEnd || context.state().openRequestCount() > 0);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -27,6 +28,7 @@
     private final Snapshot<InstanceTable> instances = new Snapshot<>(InstanceTable.EMPTY);
     private final CountDownLatch initialized = new CountDownLatch(1);
     private final AtomicLong stoppedAtMillis = new AtomicLong(RUNNING);
+    private final AtomicBoolean refusingAll = new AtomicBoolean();
     private final AtomicInteger openRequests = new AtomicInteger();
     private final Snapshot<Map<String, InetSocketAddress>> peers = new Snapshot<>(Map.of());
     private final RecentChanges recentChanges = new RecentChanges();
@@ -84,6 +86,16 @@
         stoppedAtMillis.compareAndSet(RUNNING, nowMillis);
     }
 
+    /** Makes the stopping process refuse each further request, so that none is open when it ends. */
+    public void refuseAll() {
+        refusingAll.set(true);
+    }
+
+    /** Returns whether each further request is refused. */
+    public boolean isRefusingAll() {
+        return refusingAll.get();
+    }
+
     /** Counts a request as open. */
     public void requestOpened() {
         openRequests.incrementAndGet();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -247,7 +247,10 @@
                         markPrefillDone();
                         recordActivity(clock.nowMillis());
                     }
-                    session.onEvent(this, responseHead, headers, event);
+                    if (hasEvents()) {
+                        // A comment before the first output would start the response although nothing is generated.
+                        session.onEvent(this, responseHead, headers, event);
+                    }
                 }
             });
         } catch (IllegalArgumentException malformed) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -29,6 +29,8 @@
     private static final int SLOW_FACTOR = 3;
 
     private static final long SLOW_SLACK_MILLIS = 300;
+    /** Multiple of the goal from which a response counts as slow. */
+    private static final int SLOW_GOAL_FACTOR = 2;
 
     private final GatewayContext context;
     private final UpstreamPool pool;
@@ -62,13 +64,26 @@
         }
     }
 
-    /** Returns the best upstream, if possible one that has not failed this request, or null if there is none. */
+    /**
+     * Returns the best upstream that has not failed this request; else, when a retry may go there, one that has but is
+     * neither ejected nor full: the last upstream of a service may answer after an error. Null if there is none.
+     */
     @Nullable
-    InstanceState selectUpstream(Set<String> failedIds) {
+    InstanceState selectUpstream(Set<String> failedIds, boolean mayRepeat) {
+        InstanceState other = select(failedIds, !failedIds.isEmpty());
+        if (other != null || !mayRepeat) {
+            return other;
+        }
         long now = context.clock().nowMillis();
+        InstanceState again = select(Set.of(), true);
+        return again == null || again.isEjected(now) || again.isFull(now) ? null : again;
+    }
+
+    private @Nullable InstanceState select(Set<String> excludedIds, boolean afterLoss) {
         InstanceSelector.Criteria criteria = new InstanceSelector.Criteria(
-                service, failedIds, request.callerHead().promptParts(), versionDraw, !failedIds.isEmpty());
-        return context.selector().select(context.state().instances(), criteria, now);
+                service, excludedIds, request.callerHead().promptParts(), versionDraw, afterLoss);
+        return context.selector()
+                .select(context.state().instances(), criteria, context.clock().nowMillis());
     }
 
     /** Returns whether the upstream that holds the KV-cache backup of a run may be used to resume it. */
@@ -104,6 +119,11 @@
         }
     }
 
+    /** Returns whether a response took much longer than the route's goal. */
+    boolean isSlowCall(Attempt attempt, long nowMillis) {
+        return nowMillis - attempt.startedAtMillis() > SLOW_GOAL_FACTOR * route.responseGoalMillis();
+    }
+
     /** Returns whether a first event came much later than expected from the prompts on the engine. */
     boolean isSlow(Attempt attempt, long nowMillis) {
         long expected = context.prefillRate().expectedMillis(attempt.prefillTokensAtStart());
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -34,10 +34,6 @@
     private static final long RETRY_AFTER_QUARANTINE_MILLIS = 2_000;
     /** A request that crashes engines does so when it starts to run; a later loss has another cause. */
     private static final int MAX_EVENTS_BEFORE_CRASH = 3;
-    /** Multiple of the goal from which a response counts as slow. */
-    private static final int SLOW_GOAL_FACTOR = 2;
-
-    private static final long NO_LOSS = -1;
 
     private final GatewayContext context;
     private final CallerExchange exchange;
@@ -52,15 +48,12 @@
     private final RequestTrace trace;
     private final CrashReporter crashReporter;
     private final Set<String> failedIds = new HashSet<>();
+    private final StreamPosition position;
     private final long deadlineMillis;
     private final ScheduledFuture<?> deadlineTimer;
     private @Nullable Attempt current;
     private @Nullable Attempt hedge;
     private @Nullable InstanceState resumeBackup;
-    private long lastEventId;
-    private long lastEventMillis;
-    private long lostAtMillis = NO_LOSS;
-    private boolean streamStarted;
     private boolean done;
 
     /** Creates a session and counts its request as open. */
@@ -88,8 +81,7 @@
         long timeoutMillis =
                 callerTimeoutMillis == 0 ? route.timeoutMillis() : Math.min(callerTimeoutMillis, route.timeoutMillis());
         this.deadlineMillis = request.arrivedAtMillis() + timeoutMillis;
-        this.lastEventId = request.callerHead().lastEventId();
-        this.lastEventMillis = request.arrivedAtMillis();
+        this.position = new StreamPosition(request.callerHead().lastEventId(), request.arrivedAtMillis());
         this.deadlineTimer = loop.schedule(() -> fail("deadline_exceeded", 0), remaining(), TimeUnit.MILLISECONDS);
         context.state().requestOpened();
     }
@@ -134,7 +126,7 @@
         InstanceState backup = asHedge ? null : resumeBackup;
         resumeBackup = null;
         boolean fromBackup = backup != null && launcher.isUsableBackup(backup);
-        InstanceState target = fromBackup ? backup : launcher.selectUpstream(failedIds);
+        InstanceState target = fromBackup ? backup : launcher.selectUpstream(failedIds, !asHedge);
         if (target == null) {
             if (!asHedge) {
                 fail("no_upstream", RETRY_AFTER_NO_UPSTREAM_MILLIS);
@@ -158,7 +150,7 @@
             current = attempt;
             monitor.started(attempt);
         }
-        trace.upstreamSelected(attempt, reason, lastEventId);
+        trace.upstreamSelected(attempt, reason, position.lastEventId());
         launcher.loadChanged();
         launcher.connect(attempt, connection -> onConnected(attempt, connection));
     }
@@ -175,7 +167,7 @@
             onUnreachable(attempt, "no longer listed");
         } else {
             history.record(attempt.number(), AttemptStatus.SENT);
-            attempt.send(connection, launcher.buildRequest(attempt, remaining(), lastEventId));
+            attempt.send(connection, launcher.buildRequest(attempt, remaining(), position.lastEventId()));
         }
     }
 
@@ -184,44 +176,41 @@
     }
 
     void onEvent(Attempt attempt, UpstreamResponseHead head, HttpHeaders headers, EventFramer.Event event) {
-        boolean numbered = event.hasId();
-        if (numbered && lastEventId > 0 && event.id() != lastEventId + 1) {
+        if (!position.isContinuedBy(event)) {
             attempt.cancel();
-            onLost(attempt, "event " + event.id() + " after " + lastEventId);
-            return;
-        }
-        if (!attempt.hasEvents()) {
-            // A comment before the first output would start the response without showing that the engine works.
+            onLost(attempt, "event " + event.id() + " after " + position.lastEventId());
             return;
         }
         long now = now();
-        if (!streamStarted) {
-            streamStarted = true;
-            exchange.beginStream(head.status(), context.headerCodec().encodeCallerResponse(headers));
-            trace.responseStarted();
-            launcher.loadChanged();
-            launcher.recordOutcome(attempt, launcher.isSlow(attempt, now));
-            if (attempt.target().inFlightCount() == 1 && history.attemptCount() == 1) {
-                context.prefillRate().record(request.callerHead().promptTokens(), now - attempt.startedAtMillis());
-            }
+        if (!position.isStarted()) {
+            beginStream(attempt, head, headers, now);
         }
-        if (lostAtMillis != NO_LOSS) {
-            trace.streamResumed(attempt, lastEventId, now - lastEventMillis, now - lostAtMillis);
-            lostAtMillis = NO_LOSS;
+        if (position.isResuming()) {
+            position.traceResumption(trace, attempt, now);
         }
-        if (numbered) {
-            lastEventId = event.id();
-            lastEventMillis = now;
+        if (event.hasId()) {
             monitor.progressed();
         }
+        position.recordDelivered(event, now);
         exchange.writeEvents(Unpooled.wrappedBuffer(event.bytes()));
         if (!exchange.isWritable()) {
             attempt.setAutoRead(false);
         }
     }
 
+    private void beginStream(Attempt attempt, UpstreamResponseHead head, HttpHeaders headers, long now) {
+        position.start();
+        exchange.beginStream(head.status(), context.headerCodec().encodeCallerResponse(headers));
+        trace.responseStarted();
+        launcher.loadChanged();
+        launcher.recordOutcome(attempt, launcher.isSlow(attempt, now));
+        if (attempt.target().inFlightCount() == 1 && history.attemptCount() == 1) {
+            context.prefillRate().record(request.callerHead().promptTokens(), now - attempt.startedAtMillis());
+        }
+    }
+
     void onStreamEnd(Attempt attempt) {
-        if (!streamStarted) {
+        if (!position.isStarted()) {
             onLost(attempt, "stream without events");
             return;
         }
@@ -247,8 +236,7 @@
             attempt.target().recordSuccess();
             trace.attemptEnded("answered");
             trace.responseStarted();
-            launcher.recordOutcome(
-                    attempt, now() - attempt.startedAtMillis() > SLOW_GOAL_FACTOR * route.responseGoalMillis());
+            launcher.recordOutcome(attempt, launcher.isSlowCall(attempt, now()));
             finalResponse.forward(response);
             finish("answered", response.head().status());
         } else {
@@ -313,9 +301,10 @@
         if (attempt == current) {
             // The engine writes the KV-cache backup of a run from its first event on.
             resumeBackup = attempt.hasEvents() ? attempt.backup() : null;
-            lostAtMillis = now();
+            position.recordLoss(now());
         }
-        retryOrFail(attempt, "lost", !streamStarted || route.retryPolicy().mayResumeStream(), 0);
+        retryOrFail(
+                attempt, "lost", !position.isStarted() || route.retryPolicy().mayResumeStream(), 0);
     }
 
     private void recordLoss(Attempt attempt, String cause) {
@@ -380,7 +369,7 @@
 
     /** Ends the request with the final response, or by closing the connection if a stream has started. */
     private void fail(String code, long retryAfterMillis) {
-        if (streamStarted) {
+        if (position.isStarted()) {
             exchange.abort();
             finish(code, 0);
             return;
@@ -403,6 +392,6 @@
         finalResponse.release();
         context.state().requestClosed();
         launcher.loadChanged();
-        trace.requestEnded(outcome, status, history.attemptCount(), lastEventId, remaining());
+        trace.requestEnded(outcome, status, history.attemptCount(), position.lastEventId(), remaining());
     }
 }
