Confirm the configuration soon after a failed call of the store

Cause, read from the diff: the longer wait in the watch also held for the first call after an outage, so that a router would have confirmed its configuration up to 0.75 s later than before. A stream that a caller resumed shortened the estimate of the duration of streams. Change: the call after a failure waits 250 ms, as it did; resumed streams are left out.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/StorePollSchedule.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/StorePollSchedule.java
@@ -7,7 +7,7 @@
 public final class StorePollSchedule {
     /** Longest wait of a call; its end confirms that the configuration is current. */
     public static final long LONG_POLL_MILLIS = 1_000;
-    /** Wait of a call while changes arrive or upstreams may be listed again. */
+    /** Wait of a call while changes arrive, upstreams may be listed again, or the store has just failed. */
     public static final long SHORT_POLL_MILLIS = 250;
 
     /** Pause after a failed call. */
@@ -24,9 +24,15 @@
 
     private StorePollSchedule() {}
 
-    /** Returns how long the call after the given batch waits for changes. */
-    public static long waitMillis(ChangeFeed.Batch last, boolean catchingUp) {
-        return catchingUp || !last.changes().isEmpty() ? SHORT_POLL_MILLIS : LONG_POLL_MILLIS;
+    /**
+     * Returns how long the next call waits for changes.
+     *
+     * @param last batch of the last call that succeeded
+     * @param unsettled whether upstreams may still be listed again or the last call failed, so that the next one has to
+     *     confirm the configuration soon
+     */
+    public static long waitMillis(ChangeFeed.Batch last, boolean unsettled) {
+        return unsettled || !last.changes().isEmpty() ? SHORT_POLL_MILLIS : LONG_POLL_MILLIS;
     }
 
     /** Returns the pause after a call that returned the given batch. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -218,7 +218,9 @@
         history.record(attempt.number(), AttemptStatus.ANSWERED);
         attempt.target().recordSuccess();
         trace.attemptEnded("answered");
-        context.state().streamDuration().record(now() - request.arrivedAtMillis());
+        if (request.callerHead().lastEventId() == 0) {
+            context.state().streamDuration().record(now() - request.arrivedAtMillis());
+        }
         exchange.endStream();
         finish("answered", HttpResponseStatus.OK.code());
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -46,6 +46,7 @@
     private final RolloutFollower rolloutFollower;
     private long version = UNKNOWN_VERSION;
     private ChangeFeed.Batch last = NO_CHANGES;
+    private boolean lastCallFailed;
     private volatile boolean stopping;
 
     /** Creates a follower. */
@@ -113,6 +114,7 @@
             state.recentChanges().append(batch);
             last = batch;
         }
+        lastCallFailed = false;
         metrics.storeCall(true);
         freshness.confirmRead(readStart.plus(last.currentAtOffsetMillis()));
         if (registry.recordStoreAvailable(clock.nowMillis())) {
@@ -121,7 +123,8 @@
     }
 
     private ChangeFeed.@Nullable Batch readChanges() {
-        return feed.changesAfter("", version, StorePollSchedule.waitMillis(last, isCatchingUp()));
+        boolean unsettled = isCatchingUp() || lastCallFailed;
+        return feed.changesAfter("", version, StorePollSchedule.waitMillis(last, unsettled));
     }
 
     private boolean isCatchingUp() {
@@ -157,6 +160,7 @@
     }
 
     private void onStoreFailure(LaburnummoorException failure) {
+        lastCallFailed = true;
         metrics.storeCall(false);
         if (registry.recordStoreUnavailable(clock.nowMillis()) || version == UNKNOWN_VERSION) {
             log.line("store_lost")
