--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ConfigPeerSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ConfigPeerSelector.java
@@ -62,7 +62,6 @@
     }
 
     private static List<String> watchers(String domain, List<String> names) {
-        List<String> ranked = RendezvousHash.rank("config-watch/" + domain, names, name -> name);
-        return ranked.subList(0, Math.min(WATCHERS_PER_DOMAIN, ranked.size()));
+        return RendezvousHash.top("config-watch/" + domain, names, WATCHERS_PER_DOMAIN);
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
@@ -61,6 +61,11 @@
         return wasAvailable;
     }
 
+    /** Returns whether the last call of the store succeeded. */
+    public boolean isStoreAvailable() {
+        return storeAvailable;
+    }
+
     /** Returns whether the store became available so recently that upstreams may still be listed again. */
     public boolean isCatchingUp(long nowMillis) {
         return storeAvailable && nowMillis - recoveredAtMillis < RELISTING_MILLIS;
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PeerSubset.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PeerSubset.java
@@ -1,8 +1,10 @@
 package io.laburnummoor.core.process;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
-import java.util.random.RandomGenerator;
+import java.util.Random;
 
 /**
  * Selects the routers that get one message. Each message goes to a different random subset, so that in a large fleet no
@@ -11,17 +13,10 @@
 public final class PeerSubset {
     private PeerSubset() {}
 
-    /** Returns at most the given number of elements, each with the same probability. */
-    public static <T> List<T> select(List<T> all, int maximum, RandomGenerator random) {
-        if (all.size() <= maximum) {
-            return all;
-        }
+    /** Returns at most the given number of elements in random order, each with the same probability. */
+    public static <T> List<T> select(Collection<T> all, int maximum, Random random) {
         List<T> shuffled = new ArrayList<>(all);
-        for (int i = 0; i < maximum; i++) {
-            int other = i + random.nextInt(shuffled.size() - i);
-            T swapped = shuffled.set(i, shuffled.get(other));
-            shuffled.set(other, swapped);
-        }
-        return List.copyOf(shuffled.subList(0, maximum));
+        Collections.shuffle(shuffled, random);
+        return shuffled.subList(0, Math.min(maximum, shuffled.size()));
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RendezvousHash.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RendezvousHash.java
@@ -40,6 +40,12 @@
         return (hash >>> 11) * 0x1.0p-53;
     }
 
+    /** Returns at most the given number of nodes with the highest weights for the key, in descending order. */
+    public static List<String> top(String key, Collection<String> nodes, int maximum) {
+        List<String> ranked = rank(key, nodes, name -> name);
+        return ranked.subList(0, Math.min(maximum, ranked.size()));
+    }
+
     /** Returns the nodes in descending order of their weight for the key. */
     public static <T> List<T> rank(String key, Collection<T> nodes, Function<T, String> name) {
         long keyHash = hash(key);
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/StoreReaders.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/StoreReaders.java
@@ -20,9 +20,7 @@
     /** Returns the routers that read the store. */
     public static List<String> of(Collection<String> routers) {
         int count = Math.max(MIN_READERS, (int) Math.ceil(Math.sqrt(routers.size())));
-        return RendezvousHash.rank(RANKING_KEY, routers, name -> name).stream()
-                .limit(count)
-                .toList();
+        return RendezvousHash.top(RANKING_KEY, routers, count);
     }
 
     /**
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/OrderedRolloutsTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/OrderedRolloutsTest.java
@@ -42,8 +42,7 @@
     /** Simulates one order and returns its outcome and the number of requests sent to the new version. */
     private Result simulate(long seed, double perSecond, double newFailures, double badFromMillis) {
         Random random = new Random(seed);
-        OrderedRollouts rollouts = new OrderedRollouts();
-        rollouts.addOrder(new RolloutOrder("drafter", "v2", DURATION_MILLIS, 7), 0);
+        OrderedRollouts rollouts = ordered("v2", 7);
         OrderedRolloutController controller = controller(new FaultyStore(), rollouts, "router-1");
         long requests = 0;
         long exposed = 0;
@@ -62,11 +61,26 @@
         return new Result(active.step().phase(), exposed, requests);
     }
 
+    /** Returns the rollouts of a router that knows one order. */
+    private static OrderedRollouts ordered(String targetVersion, long number) {
+        OrderedRollouts rollouts = new OrderedRollouts();
+        rollouts.addOrder(new RolloutOrder("drafter", targetVersion, DURATION_MILLIS, number), 0);
+        return rollouts;
+    }
+
     private static OrderedRolloutController controller(KeyValueStore store, OrderedRollouts rollouts, String name) {
         return new OrderedRolloutController(
                 store, rollouts, new TextDocuments(), new OrderedPlan(BOUND), name, (service, step, trials) -> {});
     }
 
+    /** Plays 20 s of ticks with an answer of the new version before each. */
+    private void runToTheEnd(OrderedRollouts rollouts, OrderedRolloutController controller, boolean bad) {
+        for (int i = 0; i < 40; i++) {
+            rollouts.recordAnswer(newInstance, "r-" + i % 2, bad);
+            controller.tick(i * TICK_MILLIS);
+        }
+    }
+
     private record Result(RolloutState.Phase phase, long exposed, long requests) {}
 
     @ParameterizedTest(name = "{0} requests/s, {1} fail from {2} ms on")
@@ -96,19 +110,13 @@
     @ValueSource(booleans = {true, false})
     void pausedControllerCannotRevertStep(boolean bad) {
         FaultyStore store = new FaultyStore();
-        OrderedRollouts first = new OrderedRollouts();
-        OrderedRollouts second = new OrderedRollouts();
-        RolloutOrder order = new RolloutOrder("drafter", "v2", DURATION_MILLIS, 7);
-        first.addOrder(order, 0);
-        second.addOrder(order, 0);
+        OrderedRollouts first = ordered("v2", 7);
+        OrderedRollouts second = ordered("v2", 7);
         OrderedRolloutController paused = controller(store, first, "router-1");
         OrderedRolloutController next = controller(store, second, "router-2");
         paused.tick(0);
         store.expireLeases();
-        for (int i = 0; i < 40; i++) {
-            second.recordAnswer(newInstance, "r-" + i % 2, bad);
-            next.tick(i * TICK_MILLIS);
-        }
+        runToTheEnd(second, next, bad);
         RolloutState.Phase outcome =
                 second.activeRollouts().values().iterator().next().step().phase();
 
@@ -141,19 +149,13 @@
     })
     void suspendedControllerCannotRevertStatus(int suspendedBeforeCall, boolean bad) {
         FaultyStore store = new FaultyStore();
-        OrderedRollouts first = new OrderedRollouts();
-        OrderedRollouts second = new OrderedRollouts();
-        RolloutOrder order = new RolloutOrder("drafter", "v2", DURATION_MILLIS, 7);
-        first.addOrder(order, 0);
-        second.addOrder(order, 0);
+        OrderedRollouts first = ordered("v2", 7);
+        OrderedRollouts second = ordered("v2", 7);
         OrderedRolloutController next = controller(store, second, "router-2");
         OrderedRolloutController suspended = controller(
                 new SuspendedStore(store, suspendedBeforeCall, () -> {
                     store.expireLeases();
-                    for (int i = 0; i < 40; i++) {
-                        second.recordAnswer(newInstance, "r-" + i % 2, bad);
-                        next.tick(i * TICK_MILLIS);
-                    }
+                    runToTheEnd(second, next, bad);
                 }),
                 first,
                 "router-1");
@@ -172,14 +174,10 @@
     @CsvSource({"8, 7", "9, 7", "8, 8"})
     void controllerThatLagsBehindCannotReplaceNewerOrder(long running, long known) {
         FaultyStore store = new FaultyStore();
-        OrderedRollouts current = new OrderedRollouts();
-        current.addOrder(new RolloutOrder("drafter", "v3", DURATION_MILLIS, running), 0);
-        controller(store, current, "router-1").tick(0);
+        controller(store, ordered("v3", running), "router-1").tick(0);
         store.expireLeases();
-        OrderedRollouts lagging = new OrderedRollouts();
-        lagging.addOrder(new RolloutOrder("drafter", "v2", DURATION_MILLIS, known), 0);
 
-        controller(store, lagging, "router-2").tick(0);
+        controller(store, ordered("v2", known), "router-2").tick(0);
 
         RolloutStep step = new TextDocuments()
                 .decodeStep(Objects.requireNonNull(store.get("step/drafter")).value());
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -1,8 +1,8 @@
 package io.laburnummoor.gateway.process;
 
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -132,7 +132,7 @@
     private void send() {
         sendScheduled.set(false);
         Channel open = channel;
-        List<InetSocketAddress> addresses = List.copyOf(state.peers().values());
+        Collection<InetSocketAddress> addresses = state.peers().values();
         if (open == null || addresses.isEmpty()) {
             return;
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -71,7 +71,7 @@
     @Nullable
     InstanceState selectUpstream(Set<String> failedIds, boolean mayRepeat) {
         InstanceState other = select(failedIds, !failedIds.isEmpty());
-        if (other != null || !mayRepeat) {
+        if (other != null || !mayRepeat || failedIds.isEmpty()) {
             return other;
         }
         long now = context.clock().nowMillis();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptMonitor.java
@@ -16,7 +16,7 @@
         public void started(Attempt attempt) {}
 
         @Override
-        public void progressed() {}
+        public void progressed(long nowMillis) {}
 
         @Override
         public void stop() {}
@@ -37,7 +37,7 @@
     void started(Attempt attempt);
 
     /** Records that the monitored attempt has delivered an event of its stream. */
-    void progressed();
+    void progressed(long nowMillis);
 
     /** Stops monitoring, since the request has ended. */
     void stop();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -189,7 +189,7 @@
             position.traceResumption(trace, attempt, now);
         }
         if (event.hasId()) {
-            monitor.progressed();
+            monitor.progressed(now);
         }
         position.recordDelivered(event, now);
         exchange.writeEvents(Unpooled.wrappedBuffer(event.bytes()));
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeMonitor.java
@@ -38,7 +38,7 @@
     }
 
     @Override
-    public void progressed() {}
+    public void progressed(long nowMillis) {}
 
     @Override
     public void stop() {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
@@ -52,8 +52,8 @@
     }
 
     @Override
-    public void progressed() {
-        timeouts.recordEvent(clock.nowMillis());
+    public void progressed(long nowMillis) {
+        timeouts.recordEvent(nowMillis);
     }
 
     @Override
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChangeFeed.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChangeFeed.java
@@ -39,6 +39,8 @@
     private final DecisionLog log;
     private final Clock clock;
     private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
+    private Map<String, InetSocketAddress> rankedPeers = Map.of();
+    private List<String> sources = List.of();
     private String source = "";
 
     /**
@@ -70,7 +72,7 @@
     @Override
     public @Nullable Batch changesAfter(String prefix, long version, long waitMillis) {
         Map<String, InetSocketAddress> peers = state.peers();
-        List<String> sources = StoreReaders.sourcesOf(settings.name(), peers.keySet());
+        rankSources(peers);
         long now = clock.nowMillis();
         avoidedUntilMillis.values().removeIf(until -> until <= now);
         int asked = 0;
@@ -94,6 +96,14 @@
         return store.changesAfter(prefix, version, waitMillis);
     }
 
+    /** Ranks the sources again when the published list of peers was replaced, which is far rarer than calls are. */
+    private void rankSources(Map<String, InetSocketAddress> peers) {
+        if (peers != rankedPeers) {
+            rankedPeers = peers;
+            sources = StoreReaders.sourcesOf(settings.name(), peers.keySet());
+        }
+    }
+
     /** Returns the changes that a router knows, or null if it does not answer or cannot be relied on. */
     private @Nullable Batch ask(InetSocketAddress address, long version) {
         URI uri = URI.create(
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -30,7 +30,7 @@
  */
 public final class StoreFollower implements Service {
     private static final long UNKNOWN_VERSION = -1;
-    private static final ChangeFeed.Batch NO_CHANGES = new ChangeFeed.Batch(List.of(), UNKNOWN_VERSION);
+    private static final ChangeFeed.Batch NOTHING_READ = new ChangeFeed.Batch(List.of(), UNKNOWN_VERSION);
 
     private final ChangeFeed feed;
     private final StoreDocuments documents;
@@ -44,9 +44,9 @@
     private final Map<String, InetSocketAddress> addressByRouter = new TreeMap<>();
     private final String routerName;
     private final RolloutFollower rolloutFollower;
-    private long version = UNKNOWN_VERSION;
-    private ChangeFeed.Batch last = NO_CHANGES;
-    private boolean lastCallFailed;
+    /** Latest batch that was applied; its version is the one that is known of the store. */
+    private ChangeFeed.Batch last = NOTHING_READ;
+
     private volatile boolean stopping;
 
     /** Creates a follower. */
@@ -105,41 +105,44 @@
 
     private void poll() {
         ConfigFreshness.ReadStart readStart = freshness.startRead();
-        ChangeFeed.Batch batch = version == UNKNOWN_VERSION ? null : readChanges();
+        ChangeFeed.Batch batch = isVersionKnown() ? readChanges() : null;
         if (batch == null) {
             readAll();
         } else {
             apply(batch.changes());
-            version = batch.version();
             state.recentChanges().append(batch);
             last = batch;
         }
-        lastCallFailed = false;
         metrics.storeCall(true);
         freshness.confirmRead(readStart.plus(last.currentAtOffsetMillis()));
         if (registry.recordStoreAvailable(clock.nowMillis())) {
-            log.line("store_connected").number("store_version", version).write();
+            log.line("store_connected").number("store_version", last.version()).write();
         }
     }
 
     private ChangeFeed.@Nullable Batch readChanges() {
-        boolean unsettled = isCatchingUp() || lastCallFailed;
-        return feed.changesAfter("", version, StorePollSchedule.waitMillis(last, unsettled));
+        boolean unsettled = isCatchingUp() || !registry.isStoreAvailable();
+        return feed.changesAfter("", last.version(), StorePollSchedule.waitMillis(last, unsettled));
     }
 
     private boolean isCatchingUp() {
         return registry.isCatchingUp(clock.nowMillis());
     }
 
+    private boolean isVersionKnown() {
+        return last.version() != UNKNOWN_VERSION;
+    }
+
     private void forgetVersion() {
-        version = UNKNOWN_VERSION;
-        last = NO_CHANGES;
+        last = NOTHING_READ;
         state.recentChanges().clear();
     }
 
     private void readAll() {
-        if (version != UNKNOWN_VERSION) {
-            log.line("store_history_lost").number("store_version", version).write();
+        if (isVersionKnown()) {
+            log.line("store_history_lost")
+                    .number("store_version", last.version())
+                    .write();
             registry.recordStoreUnavailable(clock.nowMillis());
         }
         forgetVersion();
@@ -155,17 +158,16 @@
         registry.retain(
                 listed.changes().stream().map(ChangeFeed.Change::key).collect(Collectors.toSet()), clock.nowMillis());
         publish();
-        version = Math.min(config.version(), listed.version());
-        state.recentChanges().restart(version);
+        last = new ChangeFeed.Batch(List.of(), Math.min(config.version(), listed.version()));
+        state.recentChanges().restart(last.version());
     }
 
     private void onStoreFailure(LaburnummoorException failure) {
-        lastCallFailed = true;
         metrics.storeCall(false);
-        if (registry.recordStoreUnavailable(clock.nowMillis()) || version == UNKNOWN_VERSION) {
+        if (registry.recordStoreUnavailable(clock.nowMillis()) || !isVersionKnown()) {
             log.line("store_lost")
                     .text("error", failure.getMessage())
-                    .number("store_version", version)
+                    .number("store_version", last.version())
                     .number("config_age_ms", freshness.ageMillis())
                     .write();
         }
--- a/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterExchange.java
+++ b/laburnummoor-router/src/main/java/io/laburnummoor/router/process/RouterExchange.java
@@ -1,7 +1,6 @@
 package io.laburnummoor.router.process;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +15,7 @@
 import io.laburnummoor.core.process.AdmissionController;
 import io.laburnummoor.core.process.ConfigHolder;
 import io.laburnummoor.core.process.DemandTable;
+import io.laburnummoor.core.process.PeerSubset;
 import io.laburnummoor.core.process.Quarantine;
 import io.laburnummoor.core.process.RouterPeers;
 import io.laburnummoor.core.process.SharedLimits;
@@ -115,8 +115,7 @@
         demand.startRound(announcedDemand(routerCount), routerCount, wallClock.nowMillis(), clock.nowMillis());
         quarantine.tick();
         connections.keySet().removeIf(each -> !others.contains(each));
-        Collections.shuffle(others, random);
-        for (RouterPeer each : others.subList(0, Math.min(PEERS_PER_ROUND, others.size()))) {
+        for (RouterPeer each : PeerSubset.select(others, PEERS_PER_ROUND, random)) {
             exchangeWith(each);
         }
     }
