Wait until a test deployment knows its upstreams as available

Cause, from the debug lines: the router made no connect attempt, it knew no available upstream. A router is ready once an agent has sent a heartbeat, and the first one may come before the agent has probed its upstream. Ruled out: a connect timeout (no attempt in the log), a taken port, a late claim (54 ms). Change: LocalDeployment waits until each router knows all upstreams as available.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/LocalDeployment.java
@@ -11,12 +11,14 @@
 import com.google.inject.TypeLiteral;
 import io.laburnummoor.agent.process.AgentModule;
 import io.laburnummoor.agent.process.AgentSettings;
+import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.connection.RouterPeer;
 import io.laburnummoor.core.connection.Upstream;
 import io.laburnummoor.core.process.ConfigPublisher;
 import io.laburnummoor.core.process.ConfigRepository;
 import io.laburnummoor.core.process.KeyValueStore;
+import io.laburnummoor.core.process.RoutingTable;
 import io.laburnummoor.core.version.ConfigSet;
 import io.laburnummoor.core.version.OrganisationDeclaration;
 import io.laburnummoor.core.version.RolloutDeclaration;
@@ -102,7 +104,7 @@
         return List.copyOf(engines.subList(before, engines.size()));
     }
 
-    /** Starts all parts and waits until each router is ready. */
+    /** Starts all parts and waits until each router is ready and knows each upstream as available. */
     public void start() throws InterruptedException {
         platform.setVms(Stream.concat(
                         engines.stream().map(EngineNode::upstream),
@@ -206,7 +208,8 @@
 
     private void awaitReady() throws InterruptedException {
         long deadlineMillis = System.currentTimeMillis() + READY_TIMEOUT_MILLIS;
-        while (!routers.stream().allMatch(RouterNode::isReady)) {
+        int upstreamCount = engines.size() + plainServices.size();
+        while (!routers.stream().allMatch(each -> each.isReady() && each.availableUpstreamCount() == upstreamCount)) {
             if (System.currentTimeMillis() > deadlineMillis) {
                 throw new IllegalStateException("deployment is not ready in time");
             }
@@ -338,6 +341,17 @@
             injector.getInstance(RouterHttpServer.class).stop();
         }
 
+        /**
+         * Returns the number of upstreams that can take work. An agent's first heartbeat may come before it has probed
+         * its upstream, so a ready router may have none.
+         */
+        int availableUpstreamCount() {
+            long nowMillis = injector.getInstance(Clock.class).nowMillis();
+            return (int) injector.getInstance(RoutingTable.class).snapshot().all().stream()
+                    .filter(each -> each.isAvailable(nowMillis))
+                    .count();
+        }
+
         /** Returns whether the balancer would send requests here. */
         public boolean isReady() {
             return injector.getInstance(ReadinessCheck.class).isReady();
--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlainServiceStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlainServiceStandIn.java
@@ -22,6 +22,7 @@
     private final AtomicInteger dropsAfterRun = new AtomicInteger();
     private volatile boolean paused;
     private volatile boolean refusing;
+    private volatile long healthDelayMillis;
 
     /** Creates a service; port 0 takes a free port. */
     public PlainServiceStandIn(String host, int port, String id, RunLedger ledger) {
@@ -57,7 +58,13 @@
         refusing = isRefusing;
     }
 
+    /** Delays each health response. */
+    public void setHealthDelay(long delayMillis) {
+        healthDelayMillis = delayMillis;
+    }
+
     private void health(HttpExchange exchange) throws IOException {
+        sleep(healthDelayMillis);
         ObjectNode body = MAPPER.createObjectNode();
         body.put("incarnation", incarnation).put("running", 0).put("waiting", 0);
         body.put("version", "plain").put("leaving", false);
@@ -84,10 +91,14 @@
     }
 
     private void awaitUnpaused() throws IOException {
+        while (paused) {
+            sleep(PAUSE_POLL_MILLIS);
+        }
+    }
+
+    private static void sleep(long millis) throws IOException {
         try {
-            while (paused) {
-                Thread.sleep(PAUSE_POLL_MILLIS);
-            }
+            Thread.sleep(millis);
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
             throw new IOException("service stopped", stopped);
--- a/laburnummoor-bench/src/test/java/io/laburnummoor/bench/process/PlainCallSessionTest.java
+++ b/laburnummoor-bench/src/test/java/io/laburnummoor/bench/process/PlainCallSessionTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -78,6 +79,23 @@
         }
     }
 
+    /**
+     * A router was ready once an agent had sent a heartbeat, also one from before the agent had probed its upstream; the
+     * first call was then refused, at times beside other load.
+     */
+    @ParameterizedTest(name = "health takes {0} ms")
+    @ValueSource(longs = {0, 100, 300})
+    void startedDeploymentAnswersTheFirstCall(long healthMillis) throws Exception {
+        try (LocalDeployment deployment = deployment()) {
+            deployment.plainServices().get(0).service().setHealthDelay(healthMillis);
+            deployment.start();
+            Session session = new Session(deployment);
+
+            assertThat(session.post(0, "order 1").code(), is(""));
+            assertThat(deployment.ledger().runs(session.key), is(1));
+        }
+    }
+
     /** A stopping router used to answer not_run to repetitions of calls that had run through another router. */
     @Test
     void stoppingRouterSaysNothingAboutTheKey() throws Exception {
