--- a/laburnummoor-bench/src/test/java/io/laburnummoor/bench/process/PlainCallSessionTest.java
+++ b/laburnummoor-bench/src/test/java/io/laburnummoor/bench/process/PlainCallSessionTest.java
@@ -80,8 +80,8 @@
     }
 
     /**
-     * A router was ready once an agent had sent a heartbeat, also one from before the agent had probed its upstream; the
-     * first call was then refused, at times beside other load.
+     * A router was ready once an agent had sent a heartbeat, also one from before the agent had probed its upstream;
+     * the first call was then refused, at times beside other load.
      */
     @ParameterizedTest(name = "health takes {0} ms")
     @ValueSource(longs = {0, 100, 300})
