--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -49,10 +49,9 @@
     private final CrashReporter crashReporter;
     private final Set<String> failedIds = new HashSet<>();
     private final StreamPosition position;
+    private final RunningAttempts running = new RunningAttempts();
     private final long deadlineMillis;
     private final ScheduledFuture<?> deadlineTimer;
-    private @Nullable Attempt current;
-    private @Nullable Attempt hedge;
     private @Nullable InstanceState resumeBackup;
     private boolean done;
 
@@ -109,9 +108,7 @@
 
     /** Applies backpressure: reads from the upstream only while the caller's connection is writable. */
     public void onWritabilityChanged(boolean writable) {
-        if (current != null) {
-            current.setAutoRead(writable);
-        }
+        running.setAutoRead(writable);
     }
 
     private long now() {
@@ -145,9 +142,9 @@
                 context.selector().totalPrefillTokens(target)
                         + request.callerHead().promptTokens());
         if (asHedge) {
-            hedge = attempt;
+            running.startHedge(attempt);
         } else {
-            current = attempt;
+            running.startCurrent(attempt);
             monitor.started(attempt);
         }
         trace.upstreamSelected(attempt, reason, position.lastEventId());
@@ -275,7 +272,7 @@
         attempt.end();
         recordLoss(attempt, cause);
         history.recordUpstreamEnded(attempt.instance().id());
-        if (promoteOtherAttempt(attempt)) {
+        if (running.promoteOther(attempt)) {
             return;
         }
         if (remaining() > MIN_REMAINING_MILLIS && history.mayRetry()) {
@@ -300,7 +297,7 @@
         }
         history.record(attempt.number(), AttemptStatus.UNKNOWN);
         recordLoss(attempt, cause);
-        if (attempt == current) {
+        if (running.isCurrent(attempt)) {
             // The engine writes the KV-cache backup of a run from its first event on.
             resumeBackup = attempt.hasEvents() ? attempt.backup() : null;
             position.recordLoss(now());
@@ -317,7 +314,7 @@
 
     /** Starts another attempt after one has ended without a response for the caller, or fails the request. */
     private void retryOrFail(Attempt ended, String reason, boolean retryable, long retryAfterMillis) {
-        if (promoteOtherAttempt(ended)) {
+        if (running.promoteOther(ended)) {
             return;
         }
         if (retryable && mayRetryNow()) {
@@ -327,17 +324,6 @@
         }
     }
 
-    /** Makes the other attempt of a hedged call the current one and returns whether one is running. */
-    private boolean promoteOtherAttempt(Attempt ended) {
-        if (ended == hedge) {
-            hedge = null;
-        } else if (ended == current) {
-            current = hedge;
-            hedge = null;
-        }
-        return current != null && !current.hasEnded();
-    }
-
     private boolean mayRetryNow() {
         return remaining() > MIN_REMAINING_MILLIS
                 && history.mayRetry()
@@ -347,7 +333,7 @@
 
     @Override
     public void onHedgeDue(Attempt attempt) {
-        if (!done && hedge == null && attempt == current && mayRetryNow()) {
+        if (!done && !running.isHedged() && running.isCurrent(attempt) && mayRetryNow()) {
             failedIds.add(attempt.instance().id());
             startAttempt("hedge", true);
         }
@@ -355,7 +341,7 @@
 
     @Override
     public void onUnresponsive(Attempt attempt, String cause) {
-        if (done || attempt != current) {
+        if (done || !running.isCurrent(attempt)) {
             return;
         }
         if (!exchange.isWritable()) {
@@ -383,14 +369,7 @@
         done = true;
         deadlineTimer.cancel(false);
         monitor.stop();
-        if (current != null) {
-            current.cancel();
-        }
-        if (hedge != null) {
-            hedge.cancel();
-        }
-        current = null;
-        hedge = null;
+        running.cancelAll();
         finalResponse.release();
         context.state().requestClosed();
         launcher.loadChanged();
