--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AttemptHistory.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/AttemptHistory.java
@@ -67,6 +67,11 @@
         return statuses.size();
     }
 
+    /** Returns whether any attempt has been sent to an upstream. */
+    public boolean wasSent() {
+        return statuses.stream().anyMatch(each -> each != AttemptStatus.NOT_SENT);
+    }
+
     /** Returns whether any attempt may have run. */
     public boolean mayHaveRun() {
         return statuses.stream().anyMatch(AttemptStatus::mayHaveRun);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -39,6 +39,17 @@
             .classicUpperBounds(PAUSE_BUCKETS_SECONDS)
             .classicOnly()
             .register(registry);
+    private final Histogram eventLoopDelay = Histogram.builder()
+            .name("laburnummoor_event_loop_delay_seconds")
+            .help("Time by which the periodic check of an event loop ran late.")
+            .classicUpperBounds(PAUSE_BUCKETS_SECONDS)
+            .classicOnly()
+            .register(registry);
+    private final Counter callersGone = Counter.builder()
+            .name("laburnummoor_callers_gone_total")
+            .help("Requests whose caller left before the end, by whether an upstream had been sent the request.")
+            .labelNames("sent")
+            .register(registry);
     private final Counter storeCalls = Counter.builder()
             .name("laburnummoor_store_calls_total")
             .help("Calls to the platform's key-value service by result.")
@@ -65,6 +76,16 @@
         resumePause.observe(pauseMillis / MILLIS_PER_SECOND);
     }
 
+    /** Records by how much an event loop was late. */
+    public void eventLoopDelayed(long millis) {
+        eventLoopDelay.observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /** Counts a request whose caller has left. */
+    public void callerGone(boolean sent) {
+        callersGone.labelValues(Boolean.toString(sent)).inc();
+    }
+
     /** Counts a call to the store. */
     public void storeCall(boolean succeeded) {
         storeCalls.labelValues(succeeded ? "ok" : "failed").inc();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -45,6 +45,7 @@
     private final Readiness readiness;
     private final EventLoopGroup eventLoops;
     private final ServerSocketChannel callerSocket;
+    private final EventLoopMonitor eventLoopMonitor;
     private @Nullable Channel callerListener;
 
     /**
@@ -58,6 +59,7 @@
         this.readiness = readiness;
         this.eventLoops = eventLoops;
         this.callerSocket = callerSocket;
+        this.eventLoopMonitor = new EventLoopMonitor(eventLoops, context);
     }
 
     /**
@@ -82,6 +84,7 @@
     @Override
     public void start() {
         GatewaySettings settings = context.settings();
+        eventLoopMonitor.start();
         listen(settings.readyPort(), new StatusEndpoint(target -> readinessReply()));
         listen(settings.metricsPort(), new StatusEndpoint(this::internalReply));
         context.state().awaitInitialState(INITIAL_STATE_TIMEOUT_MILLIS);
@@ -93,6 +96,7 @@
                 .register()
                 .syncUninterruptibly()
                 .channel();
+        context.log().line("accepting_callers").write();
     }
 
     private StatusEndpoint.Reply readinessReply() {
@@ -143,6 +147,7 @@
                 .number("open_requests", context.state().openRequestCount())
                 .number("waited_ms", context.clock().nowMillis() - start)
                 .write();
+        eventLoopMonitor.stop();
         eventLoops.shutdownGracefully(0, POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -102,7 +102,7 @@
     /** Cancels all attempts, since the caller has disconnected. */
     public void onCallerDisconnected() {
         if (!done) {
-            finish("caller_gone", 0);
+            finish(RequestTrace.CALLER_GONE, 0);
         }
     }
 
@@ -373,6 +373,6 @@
         finalResponse.release();
         context.state().requestClosed();
         launcher.loadChanged();
-        trace.requestEnded(outcome, status, history.attemptCount(), position.lastEventId(), remaining());
+        trace.requestEnded(outcome, status, history, position.lastEventId(), remaining());
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -2,12 +2,16 @@
 
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.request.AttemptHistory;
 import io.laburnummoor.core.request.AttemptStatus;
 import io.laburnummoor.core.version.ForwardRoute;
 import io.laburnummoor.gateway.process.GatewayContext;
 
 /** Writes the log lines and updates the metrics of one request; called by its session. */
 final class RequestTrace {
+    /** Outcome of a request whose caller has disconnected. */
+    static final String CALLER_GONE = "caller_gone";
+
     private final GatewayContext context;
     private final ForwardRequest request;
     private final ForwardRoute route;
@@ -95,8 +99,11 @@
                 .write();
     }
 
-    void requestEnded(String outcome, int status, int attempts, long lastEvent, long remainingMillis) {
+    void requestEnded(String outcome, int status, AttemptHistory history, long lastEvent, long remainingMillis) {
         context.metrics().requestEnded(route.name(), status);
+        if (outcome.equals(CALLER_GONE)) {
+            context.metrics().callerGone(history.wasSent());
+        }
         context.log()
                 .line("request_ended")
                 .text("request", request.id())
@@ -104,7 +111,8 @@
                 .text("organisation", request.organisation())
                 .text("outcome", outcome)
                 .number("status", status)
-                .number("attempts", attempts)
+                .number("attempts", history.attemptCount())
+                .flag("sent", history.wasSent())
                 .number("last_event", lastEvent)
                 .number("duration_ms", now() - request.arrivedAtMillis())
                 .number("remaining_ms", remainingMillis)
