Read a caller's connection again before each send to an upstream

What callers saw: nothing, they had left; engines worked for them (GONE). Cause: after a delay (start, pause, starved process) a request and the close behind it lie in the same socket. The event loop reads the request, stops at the first partly filled buffer and dispatches at once; the close is reported by a later read. Retries, hedged attempts, resumptions and pipelined requests came before the close likewise. Ruled out as the only cause: the early bind alone, since a pause gives the same; the order of selected keys, since callers lose with each order. Change: a session asks its exchange whether the caller is connected, at its start and right before each send; the exchange reads what has arrived and sees the close. A session starts after the channel has been read, so that this read is not nested. A connection that was opened for a departed caller goes to the pool. Why it works: a close that has reached the machine is read before any byte is sent, whatever came late.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -18,8 +18,10 @@
 import io.laburnummoor.gateway.request.LocalReply;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -58,6 +60,7 @@
     private long headArrivedAtMillis;
     private long idleSinceMillis;
     private long partialHeadSinceMillis = -1;
+    private boolean bytesReceived;
     private boolean closing;
 
     CallerConnection(GatewayContext gateway, UpstreamPool pool, StrictRequestDecoder decoder) {
@@ -68,6 +71,7 @@
 
     /** Records that bytes have arrived, before the decoder processes them; the first ones start the header timeout. */
     void onBytesReceived() {
+        bytesReceived = true;
         if (head == null && response == null && partialHeadSinceMillis < 0) {
             partialHeadSinceMillis = now();
         }
@@ -126,6 +130,21 @@
         }
     }
 
+    /**
+     * Reads everything that has arrived on the connection, and returns whether it is still open. Must not be called
+     * while the channel is being read.
+     */
+    boolean isOpenAfterRead(Channel channel) {
+        // A read stops at the first partly filled buffer, and the close may lie behind a pipelined request.
+        do {
+            bytesReceived = false;
+            if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+                socket.read();
+            }
+        } while (bytesReceived);
+        return channel.isActive();
+    }
+
     private void handle(ChannelHandlerContext context, Object message) {
         try {
             if (message instanceof HttpRequest request) {
@@ -198,7 +217,8 @@
         CallerRequestHead caller = gateway.headerCodec().decodeCallerRequest(request.headers());
         CallerResponse exchange = new CallerResponse(this, context, gateway, caller, HttpUtil.isKeepAlive(request));
         response = exchange;
-        admit(context, request, bytes, caller, exchange);
+        // Runs after the channel has been read, since the session reads it again before each send.
+        context.executor().execute(() -> admit(context, request, bytes, caller, exchange));
     }
 
     private void admit(
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
@@ -93,6 +93,11 @@
         context.close();
     }
 
+    @Override
+    public boolean isConnected() {
+        return connection.isOpenAfterRead(context.channel());
+    }
+
     @Override
     public boolean isWritable() {
         return context.channel().isWritable();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CallerExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CallerExchange.java
@@ -23,6 +23,12 @@
     /** Closes the connection, so that the truncated response cannot look complete. */
     void abort();
 
+    /**
+     * Returns whether the caller is still connected, after reading what has arrived on its connection. Without that
+     * read, a close that lies behind the request in the same socket would not be seen yet.
+     */
+    boolean isConnected();
+
     /** Returns whether more events can be written without filling the write buffer. */
     boolean isWritable();
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -85,8 +85,12 @@
         context.state().requestOpened();
     }
 
-    /** Starts the first attempt. */
+    /** Starts the first attempt, unless the caller has left while the process did not read its connection. */
     public void start() {
+        if (!exchange.isConnected()) {
+            onCallerDisconnected();
+            return;
+        }
         if (crashReporter.isQuarantined()) {
             fail("request_quarantined", RETRY_AFTER_QUARANTINE_MILLIS);
             return;
@@ -155,10 +159,13 @@
     private void onConnected(Attempt attempt, @Nullable UpstreamConnection connection) {
         if (attempt.hasEnded() || done) {
             if (connection != null) {
-                connection.cancel();
+                connection.returnToPool();
             }
         } else if (connection == null) {
             onUnreachable(attempt, "no connection");
+        } else if (!exchange.isConnected()) {
+            connection.returnToPool();
+            onCallerDisconnected();
         } else if (!attempt.target().isInService(now())) {
             connection.cancel();
             onUnreachable(attempt, "no longer listed");
