Reset the connection of an abandoned attempt

What callers saw: nothing, they had left; an engine that had not read its socket in time (it stood still, its window was full, the path was cut) received the request later and ran it (GONE). Cause: a cancelled attempt closed its connection in the ordinary way, and bytes that the engine had not received were still delivered behind it. Evidence: DepartedCallerTest.requestThatAnEngineHasNotReadIsTakenBack failed on all three routes before, the engine received the whole request after the caller had left. Change: the connection of an open request is reset (linger of zero), which drops what has not been delivered. Ruled out: idle connections and complete responses, they are closed as before. Limit: bytes that the engine's own kernel has already received are read by it even after a reset (tried on loopback); that cannot be taken back from this side.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
@@ -67,10 +68,10 @@
         });
     }
 
-    /** Cancels the open request by closing the connection, so that the upstream stops processing it. */
+    /** Cancels the open request by resetting the connection, so that the upstream stops processing it. */
     public void cancel() {
         listener = null;
-        close();
+        reset();
     }
 
     /** Pauses or resumes reading from the upstream. */
@@ -104,6 +105,18 @@
         }
     }
 
+    /**
+     * Closes the connection and drops bytes that the upstream has not received. After an ordinary close they would
+     * still be delivered, and the upstream would run a request that nobody waits for.
+     */
+    private void reset() {
+        Channel target = channel;
+        if (target != null && target.isOpen()) {
+            target.config().setOption(ChannelOption.SO_LINGER, 0);
+            target.close();
+        }
+    }
+
     String key() {
         return key;
     }
@@ -197,7 +210,7 @@
         failed = true;
         UpstreamListener current = listener;
         listener = null;
-        close();
+        reset();
         if (current != null) {
             current.onFailure(cause);
         }
