Send no more requests to an engine that says in an answer that it leaves

Before: only the entry in the store was read, which may be late, missing or called ready while the store is unavailable. Change: each response head of the engine's own incarnation is read for it, also refusals, errors and lists of cached prefixes; the engine's state keeps it for the incarnation, whatever the entry says, and the registry returns the same state when an entry that was dropped is listed again with the same start time. Streams that run there go on. Logged as upstream_leaving with reason answer.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -40,6 +41,7 @@
     private final AtomicLong fullUntilMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong lastSeenMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong endedAtMillis = new AtomicLong(Long.MAX_VALUE);
+    private final AtomicBoolean leavingAnnounced = new AtomicBoolean();
     private final AtomicReference<@Nullable ReportedLoad> reportedLoad = new AtomicReference<>();
     private final Snapshot<Double> failureRate = new Snapshot<>(0.0);
     private final Snapshot<PrefixCacheContents> prefixCache = new Snapshot<>(PrefixCacheContents.UNKNOWN);
@@ -205,6 +207,14 @@
         endedAtMillis.accumulateAndGet(atMillis, Math::min);
     }
 
+    /**
+     * Records that the upstream itself has announced with an answer that it leaves. Holds for the incarnation, whatever
+     * its entry in the platform's list says; returns whether it was not known before.
+     */
+    public boolean recordLeaving() {
+        return !leavingAnnounced.getAndSet(true) && !instance.get().leaving();
+    }
+
     /** Revokes the recorded end, for example because the entry is listed again. */
     public void clearEnded() {
         endedAtMillis.set(Long.MAX_VALUE);
@@ -212,7 +222,7 @@
 
     /** Returns whether the upstream accepts new work: it is not leaving and its incarnation has not ended. */
     public boolean isInService(long nowMillis) {
-        return !instance.get().leaving() && nowMillis < endedAtMillis.get();
+        return !instance.get().leaving() && !leavingAnnounced.get() && nowMillis < endedAtMillis.get();
     }
 
     /** Returns whether the upstream is ejected because of failures. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
@@ -1,6 +1,7 @@
 package io.laburnummoor.core.process;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -23,10 +24,20 @@
     static final long EXPIRY_WINDOW_MILLIS = 500;
     /** Time after an outage of the store in which live upstreams whose entry expired are listed again. */
     static final long RELISTING_MILLIS = 2_300;
+    /** Limits the memory for upstreams that never return. */
+    private static final int MAX_DROPPED = 1_024;
 
     private final Listener listener;
     private final Map<String, InstanceState> instances = new HashMap<>();
     private final Map<String, Long> expiredAtMillis = new HashMap<>();
+    /** States of dropped incarnations, oldest first, since an entry that expired can be listed again. */
+    private final Map<String, InstanceState> dropped = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, InstanceState> eldest) {
+            return size() > MAX_DROPPED;
+        }
+    };
+
     private boolean storeAvailable;
     private boolean everAvailable;
     private long recoveredAtMillis = Long.MIN_VALUE / 2;
@@ -85,11 +96,22 @@
             return false;
         }
         endPreviousIncarnation(entry.address(), nowMillis);
-        instances.put(key, new InstanceState(entry));
+        instances.put(key, stateOf(key, entry));
         listener.listed(entry);
         return true;
     }
 
+    /** Returns the earlier state of an incarnation that is listed again, so that what it announced still holds. */
+    private InstanceState stateOf(String key, UpstreamInstance entry) {
+        InstanceState previous = dropped.remove(key);
+        if (previous == null || !previous.instance().isSameIncarnation(entry)) {
+            return new InstanceState(entry);
+        }
+        previous.update(entry);
+        previous.clearEnded();
+        return previous;
+    }
+
     /** Ends the previous incarnation at an address, whose own entry expires only seconds after its crash. */
     private void endPreviousIncarnation(String address, long nowMillis) {
         for (InstanceState each : instances.values()) {
@@ -148,6 +170,7 @@
         instances.remove(key);
         expiredAtMillis.remove(key);
         known.markEnded(nowMillis);
+        dropped.put(key, known);
         listener.dropped(known.instance(), reason);
     }
 
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/InstanceStateTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/InstanceStateTest.java
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -38,6 +39,22 @@
         assertThat(state.estimatedLoad(1_000 + ageMillis), is(expected));
     }
 
+    /** Guards against requests for an upstream that said it leaves while the platform's list still has it as ready. */
+    @ParameterizedTest(name = "then {0}")
+    @ValueSource(strings = {"nothing", "listed as ready", "its end is revoked", "answers a request"})
+    void anAnnouncementToLeaveHoldsForTheIncarnation(String later) {
+        assertThat(state.recordLeaving(), is(true));
+        switch (later) {
+            case "listed as ready" -> state.update(state.instance());
+            case "its end is revoked" -> state.clearEnded();
+            case "answers a request" -> state.recordSuccess();
+            default -> {}
+        }
+
+        assertThat(state.isInService(1_000), is(false));
+        assertThat(state.recordLeaving(), is(false));
+    }
+
     @ParameterizedTest(name = "prompt of {0} tokens")
     @CsvSource({"1", "8000"})
     void endedRequestReleasesItsTokens(long tokens) {
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
@@ -89,6 +89,23 @@
         assertThat(known.isInService(now + askedAfter), is(used));
     }
 
+    /**
+     * Guards against requests for an upstream that said it leaves, after its entry expired in an outage of the store and
+     * was listed again as ready. A restarted upstream under the same id is another incarnation.
+     */
+    @ParameterizedTest(name = "listed again with start time {0}")
+    @CsvSource({"7, false", "8, true"})
+    void anAnnouncementToLeaveOutlivesTheEntry(long startedAtMillis, boolean used) {
+        registry.recordStoreAvailable(now);
+        registry.put("a", entry(1, 7, false), now);
+        registry.table().all().get(0).recordLeaving();
+
+        registry.remove("a", now);
+        registry.put("a", entry(1, startedAtMillis, false), now + 1_000);
+
+        assertThat(registry.table().all().get(0).isInService(now + 1_000), is(used));
+    }
+
     /** One step of a generated history. */
     enum Step {
         LIST,
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -7,6 +7,7 @@
 import io.laburnummoor.gateway.connection.EventFramer;
 import io.laburnummoor.gateway.connection.UpstreamConnection;
 import io.laburnummoor.gateway.connection.UpstreamListener;
+import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewayContext;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -31,6 +32,7 @@
     private final ForwardSession session;
     private final ForwardCodec codec;
     private final Clock clock;
+    private final DecisionLog log;
     private final boolean streamRequested;
     /** Whether only events with an id are output; others, such as comments that keep a connection open, are not. */
     private final boolean numberedEvents;
@@ -67,6 +69,7 @@
         this.session = session;
         this.codec = context.headerCodec();
         this.clock = context.clock();
+        this.log = context.log();
         this.streamRequested = route.streaming();
         this.numberedEvents = route.retryPolicy().mayResumeStream();
         this.target = target;
@@ -201,10 +204,7 @@
         }
         long now = clock.nowMillis();
         target.recordLastSeen(now);
-        UpstreamResponseHead.Load load = responseHead.load();
-        if (load != null) {
-            target.recordReportedLoad(load.running(), load.waiting(), now);
-        }
+        UpstreamNotices.record(responseHead, target, now, log);
         if (responseHead.isSuccess() && (!responseHead.sealed() || responseHead.contentEncoded())) {
             failOnProtocolError("success without the upstream's signature or with an encoding");
             return;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
@@ -131,6 +131,8 @@
         @Override
         public void onHead(HttpResponse response) {
             readable = response.status().equals(HttpResponseStatus.OK);
+            UpstreamResponseHead head = context.headerCodec().decodeUpstreamResponse(response);
+            UpstreamNotices.record(head, target, context.clock().nowMillis(), context.log());
         }
 
         @Override
--- /dev/null
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamNotices.java
@@ -0,0 +1,26 @@
+package io.laburnummoor.gateway.request;
+
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.gateway.process.DecisionLog;
+
+/** Records what an upstream says about itself in the head of a response. */
+final class UpstreamNotices {
+    private UpstreamNotices() {}
+
+    /** Records the notices of a response from the upstream; one of another incarnation says nothing about it. */
+    static void record(UpstreamResponseHead head, InstanceState upstream, long nowMillis, DecisionLog log) {
+        if (head.wrongIncarnation()) {
+            return;
+        }
+        UpstreamResponseHead.Load load = head.load();
+        if (load != null) {
+            upstream.recordReportedLoad(load.running(), load.waiting(), nowMillis);
+        }
+        if (head.leaving() && upstream.recordLeaving()) {
+            log.line("upstream_leaving")
+                    .text("upstream", upstream.instance().id())
+                    .text("reason", "answer")
+                    .write();
+        }
+    }
+}
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamResponseHead.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamResponseHead.java
@@ -10,6 +10,7 @@
  * @param sealed whether the response has the upstream's signature
  * @param notExecuted whether the upstream states that the request did not and will not run
  * @param wrongIncarnation whether another incarnation now uses the upstream's address
+ * @param leaving whether the upstream announces that it leaves and wants no more requests
  * @param contentEncoded whether the body has a content encoding, so that it differs from the bytes that the upstream
  *     produced
  * @param load load of the upstream, or null if it reports none
@@ -21,6 +22,7 @@
         boolean sealed,
         boolean notExecuted,
         boolean wrongIncarnation,
+        boolean leaving,
         boolean contentEncoded,
         @Nullable Load load,
         int keepAliveSeconds) {
