Give an engine the pause that its refusal asks for

Before: a refusal held requests off for 150 ms, whatever it asked for. The engine is not selected, is no backup and is not asked before the pause has ended; the check is repeated when a connection has been opened, and such an attempt is withdrawn without counting as a loss of the engine. When all engines of a service have asked for a pause, the caller is refused at once and told when the first one ends. Logged as upstream_held_off and attempt_withdrawn.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -41,6 +41,7 @@
     private final AtomicLong fullUntilMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong lastSeenMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong endedAtMillis = new AtomicLong(Long.MAX_VALUE);
+    private final AtomicLong heldOffUntilMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicBoolean leavingAnnounced = new AtomicBoolean();
     private final AtomicReference<@Nullable ReportedLoad> reportedLoad = new AtomicReference<>();
     private final Snapshot<Double> failureRate = new Snapshot<>(0.0);
@@ -202,6 +203,16 @@
         fullUntilMillis.accumulateAndGet(nowMillis + FULL_HOLD_MILLIS, Math::max);
     }
 
+    /** Records that the upstream wants no request before the given time; an earlier time has no effect. */
+    public void holdOffUntil(long atMillis) {
+        heldOffUntilMillis.accumulateAndGet(atMillis, Math::max);
+    }
+
+    /** Returns for how long the upstream still wants no request, 0 if it accepts requests. */
+    public long remainingHoldOffMillis(long nowMillis) {
+        return Math.max(0, heldOffUntilMillis.get() - nowMillis);
+    }
+
     /** Records that this incarnation ends at the given time; it gets no new request from then on. */
     public void markEnded(long atMillis) {
         endedAtMillis.accumulateAndGet(atMillis, Math::min);
@@ -220,11 +231,16 @@
         endedAtMillis.set(Long.MAX_VALUE);
     }
 
-    /** Returns whether the upstream accepts new work: it is not leaving and its incarnation has not ended. */
+    /** Returns whether the upstream is part of its service: it is not leaving and its incarnation has not ended. */
     public boolean isInService(long nowMillis) {
         return !instance.get().leaving() && !leavingAnnounced.get() && nowMillis < endedAtMillis.get();
     }
 
+    /** Returns whether a request may be sent: the upstream is in service and has not asked for a pause. */
+    public boolean acceptsRequests(long nowMillis) {
+        return isInService(nowMillis) && nowMillis >= heldOffUntilMillis.get();
+    }
+
     /** Returns whether the upstream is ejected because of failures. */
     public boolean isEjected(long nowMillis) {
         return nowMillis < ejectedUntilMillis.get();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
@@ -83,7 +83,7 @@
         return selectLowest(
                 table.ofService(criteria.service.name()),
                 Double.POSITIVE_INFINITY,
-                each -> each.isInService(nowMillis)
+                each -> each.acceptsRequests(nowMillis)
                         && !criteria.excludedIds.contains(each.instance().id())
                         && rollouts.allows(each.instance(), versionDraw),
                 each -> score(each, criteria.service, criteria.afterLoss, nowMillis)
@@ -105,7 +105,7 @@
         return selectLowest(
                 table.ofService(service.name()),
                 EJECTED_PENALTY,
-                each -> each.isInService(nowMillis)
+                each -> each.acceptsRequests(nowMillis)
                         && !each.instance().failureDomain().equals(primary.failureDomain())
                         && each.instance().version().equals(primary.version())
                         && hasCapacity(each, service, tokens),
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceTable.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceTable.java
@@ -33,6 +33,18 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the time until an upstream of a service accepts requests again, if all that are in service have asked for
+     * a pause; 0 if one accepts requests now, or none is in service.
+     */
+    public long millisUntilAccepting(String service, long nowMillis) {
+        return ofService(service).stream()
+                .filter(each -> each.isInService(nowMillis))
+                .mapToLong(each -> each.remainingHoldOffMillis(nowMillis))
+                .min()
+                .orElse(0);
+    }
+
     /** Returns all upstreams. */
     public List<InstanceState> all() {
         return all;
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/InstanceStateTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/InstanceStateTest.java
@@ -55,6 +55,18 @@
         assertThat(state.recordLeaving(), is(false));
     }
 
+    /** Guards against requests within a pause that the upstream asked for; a shorter later pause does not end it. */
+    @ParameterizedTest(name = "pauses of {0} and {1} ms, {2} ms later")
+    @CsvSource({"500, 500, 499, false", "500, 500, 500, true", "900, 100, 899, false", "100, 900, 899, false"})
+    void aPauseThatTheUpstreamAskedForIsKept(long first, long second, long laterMillis, boolean accepts) {
+        state.holdOffUntil(1_000 + first);
+        state.holdOffUntil(1_000 + second);
+        state.recordSuccess();
+
+        assertThat(state.acceptsRequests(1_000 + laterMillis), is(accepts));
+        assertThat(state.isInService(1_000), is(true));
+    }
+
     @ParameterizedTest(name = "prompt of {0} tokens")
     @CsvSource({"1", "8000"})
     void endedRequestReleasesItsTokens(long tokens) {
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceSelectorTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceSelectorTest.java
@@ -11,6 +11,7 @@
 import io.laburnummoor.core.version.ForwardService;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -49,6 +50,8 @@
                 handicap("ejected", state -> state.recordFailure(NOW)),
                 handicap("full", state -> state.recordFull(NOW)),
                 handicap("ended", state -> state.markEnded(NOW)),
+                handicap("leaves", state -> state.recordLeaving()),
+                handicap("wants no requests", state -> state.holdOffUntil(NOW + 1)),
                 handicap("has prompts to prefill", state -> state.requestStarted(8_000)),
                 handicap("told load", state -> state.recordReportedLoad(6, 2, NOW)),
                 handicap("told errors", state -> {
@@ -97,6 +100,18 @@
                 is(nullValue()));
     }
 
+    /** Guards against callers that return before an upstream accepts requests, or much later. */
+    @ParameterizedTest(name = "pauses of {0} and {1} ms")
+    @CsvSource({"700, 300, 300", "700, 0, 0", "0, 0, 0"})
+    void callersReturnWhenTheFirstPauseEnds(long sapporoMillis, long asahikawaMillis, long expected) {
+        sapporo.holdOffUntil(NOW + sapporoMillis);
+        asahikawa.holdOffUntil(NOW + asahikawaMillis);
+
+        assertThat(table.millisUntilAccepting("drafter", NOW), is(expected));
+        assertThat(selector.select(table, CRITERIA, NOW) == null, is(expected > 0));
+        assertThat(table.millisUntilAccepting("gatedesk", NOW), is(0L));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 9})
     void ejectedUpstreamsAreTheLastResort(int failures) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -29,6 +29,7 @@
     private static final int SLOW_FACTOR = 3;
 
     private static final long SLOW_SLACK_MILLIS = 300;
+    private static final long RETRY_AFTER_NO_UPSTREAM_MILLIS = 400;
     /** Multiple of the goal from which a response counts as slow. */
     private static final int SLOW_GOAL_FACTOR = 2;
 
@@ -86,10 +87,18 @@
                 .select(context.state().instances(), criteria, context.clock().nowMillis());
     }
 
+    /** Returns when a caller should return after no upstream could be selected. */
+    long retryAfterMillis() {
+        long untilAccepting = context.state()
+                .instances()
+                .millisUntilAccepting(service.name(), context.clock().nowMillis());
+        return untilAccepting > 0 ? untilAccepting : RETRY_AFTER_NO_UPSTREAM_MILLIS;
+    }
+
     /** Returns whether the upstream that holds the KV-cache backup of a run may be used to resume it. */
     boolean isUsableBackup(InstanceState backup) {
         long now = context.clock().nowMillis();
-        return backup.isInService(now) && !backup.isEjected(now);
+        return backup.acceptsRequests(now) && !backup.isEjected(now);
     }
 
     /** Returns the upstream that is to hold the KV-cache backup of a run on the target, or null. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
@@ -51,7 +51,7 @@
         long now = context.clock().nowMillis();
         for (InstanceState each : context.state().instances().ofService(service)) {
             if (openQueries.size() < MAX_ENGINES
-                    && each.isInService(now)
+                    && each.acceptsRequests(now)
                     && !each.isEjected(now)
                     && !each.isPrefixCacheKnown(now)) {
                 openQueries.add(new EngineQuery(each));
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -30,7 +30,6 @@
     private static final long MIN_REMAINING_MILLIS = 20;
 
     private static final long RETRY_AFTER_FULL_MILLIS = 150;
-    private static final long RETRY_AFTER_NO_UPSTREAM_MILLIS = 400;
     private static final long RETRY_AFTER_QUARANTINE_MILLIS = 2_000;
     /** A request that crashes engines does so when it starts to run; a later loss has another cause. */
     private static final int MAX_EVENTS_BEFORE_CRASH = 3;
@@ -130,7 +129,7 @@
         InstanceState target = fromBackup ? backup : launcher.selectUpstream(failedIds, !asHedge);
         if (target == null) {
             if (!asHedge) {
-                fail("no_upstream", RETRY_AFTER_NO_UPSTREAM_MILLIS);
+                fail("no_upstream", launcher.retryAfterMillis());
             }
             return;
         }
@@ -166,9 +165,9 @@
         } else if (!exchange.isConnected()) {
             connection.returnToPool();
             onCallerDisconnected();
-        } else if (!attempt.target().isInService(now())) {
-            connection.cancel();
-            onUnreachable(attempt, "no longer listed");
+        } else if (!attempt.target().acceptsRequests(now())) {
+            connection.returnToPool();
+            onWithdrawn(attempt);
         } else {
             history.record(attempt.number(), AttemptStatus.SENT);
             attempt.send(connection, launcher.buildRequest(attempt, remaining(), position.lastEventId()));
@@ -275,17 +274,30 @@
         retryOrFail(attempt, "not_executed", true, RETRY_AFTER_FULL_MILLIS);
     }
 
+    /** Called when the upstream stopped accepting requests before this one was sent, which is no failure of it. */
+    private void onWithdrawn(Attempt attempt) {
+        attempt.end();
+        failedIds.add(attempt.instance().id());
+        trace.attemptWithdrawn(attempt);
+        retryUnsent(attempt);
+    }
+
     private void onUnreachable(Attempt attempt, String cause) {
         attempt.end();
         recordLoss(attempt, cause);
         history.recordUpstreamEnded(attempt.instance().id());
+        retryUnsent(attempt);
+    }
+
+    /** Starts another attempt after one that was never sent, which takes nothing from the retry budget. */
+    private void retryUnsent(Attempt attempt) {
         if (running.promoteOther(attempt)) {
             return;
         }
         if (remaining() > MIN_REMAINING_MILLIS && history.mayRetry()) {
             startAttempt("unreachable", false);
         } else {
-            fail("no_upstream", RETRY_AFTER_NO_UPSTREAM_MILLIS);
+            fail("no_upstream", launcher.retryAfterMillis());
         }
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -58,6 +58,17 @@
                 .write();
     }
 
+    void attemptWithdrawn(Attempt attempt) {
+        attemptEnded("withdrawn");
+        context.log()
+                .line("attempt_withdrawn")
+                .text("request", request.id())
+                .text("upstream", attempt.instance().id())
+                .number("hold_off_ms", attempt.target().remainingHoldOffMillis(now()))
+                .number("age_ms", now() - attempt.startedAtMillis())
+                .write();
+    }
+
     void notExecuted(Attempt attempt, int status) {
         attemptEnded("not_executed");
         logResponse(attempt, "not_executed", status);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamNotices.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamNotices.java
@@ -16,6 +16,13 @@
         if (load != null) {
             upstream.recordReportedLoad(load.running(), load.waiting(), nowMillis);
         }
+        if (head.holdOffMillis() > 0) {
+            upstream.holdOffUntil(nowMillis + head.holdOffMillis());
+            log.line("upstream_held_off")
+                    .text("upstream", upstream.instance().id())
+                    .number("hold_off_ms", head.holdOffMillis())
+                    .write();
+        }
         if (head.leaving() && upstream.recordLeaving()) {
             log.line("upstream_leaving")
                     .text("upstream", upstream.instance().id())
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamResponseHead.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamResponseHead.java
@@ -11,6 +11,7 @@
  * @param notExecuted whether the upstream states that the request did not and will not run
  * @param wrongIncarnation whether another incarnation now uses the upstream's address
  * @param leaving whether the upstream announces that it leaves and wants no more requests
+ * @param holdOffMillis time for which the upstream, which refused the request, wants no further one; 0 for none
  * @param contentEncoded whether the body has a content encoding, so that it differs from the bytes that the upstream
  *     produced
  * @param load load of the upstream, or null if it reports none
@@ -23,6 +24,7 @@
         boolean notExecuted,
         boolean wrongIncarnation,
         boolean leaving,
+        long holdOffMillis,
         boolean contentEncoded,
         @Nullable Load load,
         int keepAliveSeconds) {
