Show that the stand-alone router sends calls of departed callers on

The HTTP server of the router does not read a connection while a call is handled, and offers no way to see a close without reading. Calls and generations with an idempotency key are meant to outlive their caller.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlainServiceStandIn.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlainServiceStandIn.java
@@ -20,6 +20,7 @@
     private final long incarnation = System.nanoTime() & Long.MAX_VALUE;
     private final AtomicInteger dropsBeforeRun = new AtomicInteger();
     private final AtomicInteger dropsAfterRun = new AtomicInteger();
+    private final AtomicInteger receivedCount = new AtomicInteger();
     private volatile boolean paused;
     private volatile boolean refusing;
     private volatile long healthDelayMillis;
@@ -63,6 +64,11 @@
         healthDelayMillis = delayMillis;
     }
 
+    /** Returns the number of calls that have been received, whether they ran or not. */
+    public int receivedCount() {
+        return receivedCount.get();
+    }
+
     private void health(HttpExchange exchange) throws IOException {
         sleep(healthDelayMillis);
         ObjectNode body = MAPPER.createObjectNode();
@@ -73,6 +79,7 @@
     }
 
     private void call(HttpExchange exchange) throws IOException {
+        receivedCount.incrementAndGet();
         exchange.getRequestBody().readAllBytes();
         if (refusing) {
             writeJson(exchange, STATUS_UNAVAILABLE, MAPPER.createObjectNode().put("code", "refused"));
