Read a caller's connection once less for each request

Before: a session read it at its start and again before the send. The read at the start is needed only before a lookup of cached prefixes, and the check of the event loops runs every 400 ms instead of 250; a delay of half a second is still always logged.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/EventLoopMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/EventLoopMonitor.java
@@ -15,9 +15,9 @@
  * requests, and the closes behind them, lie unread in their sockets.
  */
 final class EventLoopMonitor implements Service {
-    private static final long CHECK_INTERVAL_MILLIS = 250;
+    private static final long CHECK_INTERVAL_MILLIS = 400;
     /** With the check interval, a delay of half a second is always logged. */
-    private static final long LOGGED_DELAY_MILLIS = 200;
+    private static final long LOGGED_DELAY_MILLIS = 100;
 
     private final EventLoopGroup eventLoops;
     private final Clock clock;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -53,12 +53,17 @@
         this.service = service;
     }
 
+    /** Returns whether engines are asked for their cached prefixes before the first upstream is selected. */
+    boolean needsLookup() {
+        return service.isEngine() && request.callerHead().lastEventId() > 0;
+    }
+
     /**
      * Calls back when the first upstream can be selected: immediately, or for a resumed stream after the engines have
      * reported their cached prefixes.
      */
     void prepare(EventLoop loop, Runnable whenReady) {
-        if (service.isEngine() && request.callerHead().lastEventId() > 0) {
+        if (needsLookup()) {
             new CachedPrefixLookup(context, loop, pool, whenReady).start(service.name(), request.id());
         } else {
             whenReady.run();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -84,17 +84,17 @@
         context.state().requestOpened();
     }
 
-    /** Starts the first attempt, unless the caller has left while the process did not read its connection. */
+    /** Starts the first attempt. */
     public void start() {
-        if (!exchange.isConnected()) {
-            onCallerDisconnected();
-            return;
-        }
         if (crashReporter.isQuarantined()) {
             fail("request_quarantined", RETRY_AFTER_QUARANTINE_MILLIS);
             return;
         }
         context.retryBudget().recordRequest(service.name(), now());
+        if (launcher.needsLookup() && !exchange.isConnected()) {
+            onCallerDisconnected();
+            return;
+        }
         launcher.prepare(loop, () -> {
             if (!done) {
                 startAttempt("first", false);
