--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
@@ -90,8 +90,8 @@
     }
 
     /**
-     * Guards against requests for an upstream that said it leaves, after its entry expired in an outage of the store and
-     * was listed again as ready. A restarted upstream under the same id is another incarnation.
+     * Guards against requests for an upstream that said it leaves, after its entry was removed and listed again as
+     * ready. A restarted upstream under the same id is another incarnation.
      */
     @ParameterizedTest(name = "listed again with start time {0}")
     @CsvSource({"7, false", "8, true"})
