Bound the history of store changes in size

Cause: RecentChanges keeps the last 512 changes with their values for routers that read them from this one. The bound counts changes only, so 512 values of 326 kB take 167 MB of a heap of 128 MB.

The history now also ends at 4 Mi characters, 8 MB at most. A router that asks for an older change gets none and reads the store, as it did behind 512 changes. The three rows of RecentChangesTest with large values failed before.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RecentChanges.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RecentChanges.java
@@ -8,19 +8,22 @@
 
 /**
  * Latest changes of the store's keys that a router has applied, kept for routers that read them from it instead of from
- * the store. Written by the store thread and read by the event loops without a lock.
+ * the store. Bounded in number and in size, since a single value may have a megabyte. Written by the store thread and
+ * read by the event loops without a lock.
  */
 public final class RecentChanges {
     /** A router that is further behind reads the store itself. */
     static final int MAX_CHANGES = 512;
+    /** Limit on the characters of all keys and values; one character takes one or two bytes of the heap. */
+    static final long MAX_CHARACTERS = 4L << 20;
 
     private static final long UNKNOWN = -1;
 
-    private final Snapshot<History> history = new Snapshot<>(new History(UNKNOWN, UNKNOWN, List.of()));
+    private final Snapshot<History> history = new Snapshot<>(History.startingAt(UNKNOWN));
 
     /** Starts a new history at the store version of a complete read. */
     public void restart(long version) {
-        history.replace(new History(version, version, List.of()));
+        history.replace(History.startingAt(version));
     }
 
     /** Forgets the history, because the store's version is no longer known. */
@@ -42,17 +45,30 @@
         return history.get().after(version);
     }
 
-    private record History(long start, long end, List<ChangeFeed.Change> changes) {
+    private record History(long start, long end, long characters, List<ChangeFeed.Change> changes) {
+        static History startingAt(long version) {
+            return new History(version, version, 0, List.of());
+        }
+
         History with(ChangeFeed.Batch batch) {
             List<ChangeFeed.Change> all = new ArrayList<>(changes);
             all.addAll(batch.changes());
+            long kept = characters + batch.changes().stream().mapToLong(History::charactersOf).sum();
             long from = start;
-            int dropped = Math.max(0, all.size() - MAX_CHANGES);
-            if (dropped > 0) {
-                from = all.get(dropped - 1).version();
-                all = all.subList(dropped, all.size());
+            int dropped = 0;
+            while (all.size() - dropped > MAX_CHANGES || kept > MAX_CHARACTERS) {
+                ChangeFeed.Change oldest = all.get(dropped);
+                from = oldest.version();
+                kept -= charactersOf(oldest);
+                dropped++;
             }
-            return new History(from, Math.max(end, batch.version()), List.copyOf(all));
+            return new History(
+                    from, Math.max(end, batch.version()), kept, List.copyOf(all.subList(dropped, all.size())));
+        }
+
+        private static long charactersOf(ChangeFeed.Change change) {
+            String value = change.value();
+            return change.key().length() + (value == null ? 0 : value.length());
         }
 
         ChangeFeed.@Nullable Batch after(long version) {
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/RecentChangesTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/RecentChangesTest.java
@@ -54,6 +54,28 @@
         assertThat(changes.after(after) == null, is(true));
     }
 
+    /**
+     * Guards against a history that fills the heap: 512 configurations of 326 kB took 167 MB. A router that asks for a
+     * change that was dropped must get no incomplete history.
+     */
+    @ParameterizedTest(name = "{0} values of {1} kB")
+    @CsvSource({"512, 7, 512", "600, 7, 512", "600, 326, 12", "20, 1024, 3", "3, 8192, 0"})
+    void theHistoryIsBoundedInSize(int count, int valueKilobytes, int kept) {
+        RecentChanges changes = new RecentChanges();
+        changes.restart(START);
+        String value = "v".repeat(valueKilobytes << 10);
+        for (long version = START + 1; version <= START + count; version++) {
+            changes.append(new ChangeFeed.Batch(List.of(new ChangeFeed.Change("key", value, version)), version));
+        }
+
+        long end = START + count;
+        ChangeFeed.Batch known = changes.after(end - kept);
+        assertThat(known == null ? -1 : known.changes().size(), is(kept));
+        boolean complete = kept == count;
+        assertThat(changes.after(end - kept - 1) == null, is(true));
+        assertThat(changes.after(START) == null, is(!complete));
+    }
+
     private static ChangeFeed.Change change(long version) {
         return new ChangeFeed.Change("key", "value", version);
     }
