Keep long-lived tasks running after an error of the virtual machine

Cause: StoreFollower.run catches RuntimeException and StackOverflowError; any other Error ended the thread "store" without a line of the log, and nothing starts it again.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RecentChanges.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RecentChanges.java
@@ -53,7 +53,8 @@
         History with(ChangeFeed.Batch batch) {
             List<ChangeFeed.Change> all = new ArrayList<>(changes);
             all.addAll(batch.changes());
-            long kept = characters + batch.changes().stream().mapToLong(History::charactersOf).sum();
+            long kept = characters
+                    + batch.changes().stream().mapToLong(History::charactersOf).sum();
             long from = start;
             int dropped = 0;
             while (all.size() - dropped > MAX_CHANGES || kept > MAX_CHARACTERS) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.laburnummoor.core.process.DrainPolicy;
+import io.laburnummoor.core.process.GuardedTask;
 import io.laburnummoor.core.request.RequestAuthorizer;
 import io.laburnummoor.core.version.CallerLimits;
 import io.laburnummoor.core.version.ForwardConfig;
@@ -82,7 +83,7 @@
         idleSinceMillis = now();
         timeoutTimer = context.executor()
                 .scheduleWithFixedDelay(
-                        () -> checkTimeouts(context),
+                        new GuardedTask(() -> checkTimeouts(context), fault -> exceptionCaught(context, fault)),
                         TIMEOUT_CHECK_MILLIS,
                         TIMEOUT_CHECK_MILLIS,
                         TimeUnit.MILLISECONDS);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/DecisionLog.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/DecisionLog.java
@@ -10,6 +10,7 @@
 
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.GuardedTask;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,6 +32,10 @@
     private final String processName;
     private final PrintStream output;
     private final Thread writer;
+    /** Lines that the writer thread writes next. */
+    private final List<String> batch = new ArrayList<>();
+
+    private long reportedDrops;
     private volatile boolean stopping;
 
     /** Creates a log whose lines contain the name of the process. */
@@ -68,8 +73,7 @@
     }
 
     private void writeLines() {
-        long reportedDrops = 0;
-        List<String> batch = new ArrayList<>();
+        Runnable guardedWrite = new GuardedTask(this::writeBatch, this::dropBatch);
         while (!stopping) {
             try {
                 batch.add(queue.take());
@@ -77,15 +81,20 @@
             } catch (InterruptedException interrupted) {
                 stopping = true;
             }
-            reportedDrops = writeBatch(batch, reportedDrops);
+            guardedWrite.run();
         }
     }
 
-    private long writeBatch(List<String> batch, long reportedDrops) {
+    private void dropBatch(Throwable fault) {
+        droppedCount.addAndGet(batch.size());
+        batch.clear();
+        line("log_batch_dropped").text("error", fault.toString()).write();
+    }
+
+    private void writeBatch() {
         queue.drainTo(batch);
         StringBuilder text = new StringBuilder();
         batch.forEach(line -> text.append(line).append('\n'));
-        batch.clear();
         long drops = droppedCount.get();
         if (drops > reportedDrops) {
             text.append(new Line("log_lines_dropped")
@@ -96,7 +105,8 @@
         byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
         output.write(bytes, 0, bytes.length);
         output.flush();
-        return drops;
+        batch.clear();
+        reportedDrops = drops;
     }
 
     /** Builder of one line. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/EventLoopMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/EventLoopMonitor.java
@@ -6,6 +6,7 @@
 
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.GuardedTask;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -35,7 +36,7 @@
     @Override
     public void start() {
         for (EventExecutor loop : eventLoops) {
-            Check check = new Check(clock.nowMillis());
+            Runnable check = new GuardedTask(new Check(clock.nowMillis()), this::onFault);
             checks.add(loop.scheduleWithFixedDelay(
                     check, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
         }
@@ -46,6 +47,10 @@
         checks.forEach(each -> each.cancel(false));
     }
 
+    private void onFault(Throwable fault) {
+        log.line("event_loop_check_fault").text("error", fault.toString()).write();
+    }
+
     /** Compares the time of each run with the time at which it was due. Confined to its event loop. */
     private final class Check implements Runnable {
         private long lastRunMillis;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -16,6 +16,7 @@
 import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.process.CrashSuspectTable;
 import io.laburnummoor.core.process.EndedIncarnationTable;
+import io.laburnummoor.core.process.GuardedTask;
 import io.laburnummoor.core.process.OrderedRollouts;
 import io.laburnummoor.core.process.PeerLoads;
 import io.laburnummoor.core.process.PeerSubset;
@@ -105,7 +106,10 @@
                 .syncUninterruptibly()
                 .channel();
         loop.scheduleWithFixedDelay(
-                this::sendPeriodically, SEND_INTERVAL_MILLIS, SEND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                new GuardedTask(this::sendPeriodically, this::onFault),
+                SEND_INTERVAL_MILLIS,
+                SEND_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -132,6 +136,10 @@
         stateChanged();
     }
 
+    private void onFault(Throwable fault) {
+        log.line("load_exchange_error").text("error", fault.toString()).write();
+    }
+
     private void sendPeriodically() {
         peers.expire(clock.nowMillis());
         suspects.expire();
@@ -211,7 +219,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            log.line("load_exchange_error").text("error", cause.toString()).write();
+            onFault(cause);
         }
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -14,6 +14,7 @@
 import io.laburnummoor.core.connection.UpstreamInstance;
 import io.laburnummoor.core.process.ChangeFeed;
 import io.laburnummoor.core.process.ConfigFreshness;
+import io.laburnummoor.core.process.GuardedTask;
 import io.laburnummoor.core.process.InstanceRegistry;
 import io.laburnummoor.core.process.PromptPartRecorder;
 import io.laburnummoor.core.process.StorePollSchedule;
@@ -49,6 +50,7 @@
     /** Latest batch that was applied; its version is the one that is known of the store. */
     private ChangeFeed.Batch last = NOTHING_READ;
 
+    private long pauseMillis = StorePollSchedule.RETRY_MILLIS;
     private volatile boolean stopping;
 
     public StoreFollower(
@@ -88,24 +90,33 @@
     }
 
     private void run() {
+        Runnable guardedPoll = new GuardedTask(this::pollOnce, this::onFault);
         while (!stopping) {
-            long pauseMillis = StorePollSchedule.RETRY_MILLIS;
-            try {
-                poll();
-                pauseMillis = StorePollSchedule.pauseMillis(last, isCatchingUp());
-            } catch (LaburnummoorException failure) {
-                onStoreFailure(failure);
-            } catch (RuntimeException | StackOverflowError fault) {
-                forgetVersion();
-                log.line("store_follower_fault").text("error", fault.toString()).write();
-            }
-            if (registry.dropExpired(clock.nowMillis())) {
-                publish();
-            }
+            pauseMillis = StorePollSchedule.RETRY_MILLIS;
+            guardedPoll.run();
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMillis));
         }
     }
 
+    private void pollOnce() {
+        try {
+            poll();
+            pauseMillis = StorePollSchedule.pauseMillis(last, isCatchingUp());
+        } catch (LaburnummoorException failure) {
+            onStoreFailure(failure);
+        }
+        if (registry.dropExpired(clock.nowMillis())) {
+            publish();
+        }
+    }
+
+    /** Starts again from a complete read, since the failed poll may have applied a part of its changes. */
+    private void onFault(Throwable fault) {
+        forgetVersion();
+        metrics.storeCall(false);
+        log.line("store_follower_fault").text("error", fault.toString()).write();
+    }
+
     private void poll() {
         ConfigFreshness.ReadStart readStart = freshness.startRead();
         ChangeFeed.Batch batch = isVersionKnown() ? readChanges() : null;
