--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -26,8 +26,8 @@
 import org.apache.hc.client5.http.ssl.TlsSocketStrategy;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpStatus;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
@@ -38,6 +38,8 @@
 public final class JsonHttp implements Service {
     private static final Logger LOGGER = Logger.getLogger(JsonHttp.class);
     private static final int MAX_CONNECTIONS = 64;
+    /** Several times the largest value that the platform stores, and a fraction of the heap. */
+    private static final int MAX_BODY_BYTES = 12 << 20;
 
     private final ObjectMapper mapper = new ObjectMapper();
     private final CloseableHttpClient client;
@@ -148,22 +150,39 @@
             request.setEntity(new StringEntity(body.toString(), ContentType.APPLICATION_JSON));
         }
         return client.execute(request, response -> {
-            String text = response.getEntity() == null ? "" : EntityUtils.toString(response.getEntity());
+            JsonNode document = readBounded(request, response);
             boolean success = response.getCode() == HttpStatus.SC_OK;
-            return new Reply(response.getCode(), success ? mapper.readTree(text) : MissingNode.getInstance());
+            return new Reply(response.getCode(), success ? document : MissingNode.getInstance());
         });
     }
 
     private JsonNode execute(HttpUriRequestBase request) throws IOException {
         return client.execute(request, response -> {
-            String text = EntityUtils.toString(response.getEntity());
+            JsonNode document = readBounded(request, response);
             if (response.getCode() != HttpStatus.SC_OK) {
                 throw new IOException("status " + response.getCode() + " from " + request.getRequestUri());
             }
-            return mapper.readTree(text);
+            return document;
         });
     }
 
+    /** Reads a document up to the limit; an answer that goes on behind it is cut off, since it may have no end. */
+    private JsonNode readBounded(HttpUriRequestBase request, ClassicHttpResponse response) throws IOException {
+        HttpEntity entity = response.getEntity();
+        if (entity == null) {
+            return MissingNode.getInstance();
+        }
+        // Its array grows with the body, so that small answers take little.
+        byte[] bytes = entity.getContentLength() > MAX_BODY_BYTES
+                ? null
+                : entity.getContent().readNBytes(MAX_BODY_BYTES + 1);
+        if (bytes == null || bytes.length > MAX_BODY_BYTES) {
+            request.abort();
+            throw new OversizedReplyException(request.getRequestUri(), MAX_BODY_BYTES);
+        }
+        return response.getCode() == HttpStatus.SC_OK ? mapper.readTree(bytes) : MissingNode.getInstance();
+    }
+
     /** Reads the trusted certificates at the first TLS connection only: they cost a tenth of a second of a start. */
     private static final class LazyTls implements TlsSocketStrategy {
         private final AtomicReference<@Nullable TlsSocketStrategy> strategy = new AtomicReference<>();
@@ -180,6 +199,15 @@
         }
     }
 
+    /** Thrown for an answer whose body is larger than this client reads. */
+    public static final class OversizedReplyException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        OversizedReplyException(String target, int maxBytes) {
+            super("answer to " + target + " is larger than " + maxBytes + " bytes");
+        }
+    }
+
     /**
      * An answer with any status.
      *
