Let no late heartbeat revoke the draining of an upstream

Cause: the store may execute a call that got no response seconds later. A heartbeat "ready" with number 12 that was executed after "draining" with number 15 took its place in the list, and InstanceRegistry took each entry of an incarnation as its latest; the number was decoded and read by nobody. The same for an entry that was removed and listed again.

An entry with a lower number than the known one of the same incarnation now updates nothing. It is logged as upstream_entry_outdated and still shows that the upstream is listed, since an entry that expired may come back by it. Where the start time is unknown, the numbers are not compared, because those of a restarted engine start anew.

InstanceRegistryTest: four of the eight new rows failed without the comparison.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamInstance.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamInstance.java
@@ -13,7 +13,7 @@
  * @param leaving whether it has announced that it accepts no new work
  * @param remainingWarmupMillis remaining time for which it stays slow after its start
  * @param startedAtMillis wall-clock start time by its own clock; differs between incarnations with one id; 0 if unknown
- * @param heartbeatNumber sequence number of its last heartbeat
+ * @param heartbeatNumber sequence number of the heartbeat that wrote the entry; a new incarnation starts anew
  */
 public record UpstreamInstance(
         String id,
@@ -38,4 +38,12 @@
                 && startedAtMillis == other.startedAtMillis
                 && address().equals(other.address());
     }
+
+    /**
+     * Returns whether this entry was written before another one of the same incarnation. False if the start time is
+     * unknown, because a lower heartbeat number may then belong to a restart.
+     */
+    public boolean precedes(UpstreamInstance other) {
+        return startedAtMillis > 0 && isSameIncarnation(other) && heartbeatNumber < other.heartbeatNumber;
+    }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
@@ -94,10 +94,9 @@
         expiredAtMillis.remove(key);
         InstanceState known = instances.get(key);
         if (known != null && known.instance().isSameIncarnation(entry)) {
-            boolean nowLeaving = entry.leaving() && !known.instance().leaving();
-            known.update(entry);
-            known.clearEnded();
-            if (nowLeaving) {
+            boolean wasLeaving = known.instance().leaving();
+            update(known, entry);
+            if (!wasLeaving && known.instance().leaving()) {
                 listener.leaving(entry);
             }
             return false;
@@ -111,14 +110,26 @@
         return true;
     }
 
+    /**
+     * Updates the state of an incarnation. A heartbeat whose response was lost may be executed seconds later, after
+     * others; such an entry shows that the upstream is listed, but it does not revoke what a later one announced.
+     */
+    private void update(InstanceState known, UpstreamInstance entry) {
+        if (entry.precedes(known.instance())) {
+            listener.outdated(entry);
+        } else {
+            known.update(entry);
+        }
+        known.clearEnded();
+    }
+
     /** Returns the earlier state of an incarnation that is listed again, so that what it announced still holds. */
     private InstanceState stateOf(String key, UpstreamInstance entry) {
         InstanceState previous = dropped.remove(key);
         if (previous == null || !previous.instance().isSameIncarnation(entry)) {
             return new InstanceState(entry);
         }
-        previous.update(entry);
-        previous.clearEnded();
+        update(previous, entry);
         return previous;
     }
 
@@ -197,6 +208,9 @@
         /** Called when an upstream has announced that it leaves. */
         void leaving(UpstreamInstance instance);
 
+        /** Called when a heartbeat is listed after a later one of the same incarnation. */
+        void outdated(UpstreamInstance instance);
+
         /** Called when an incarnation is no longer in use; the reason is the one that is logged. */
         void dropped(UpstreamInstance instance, String reason);
     }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
@@ -32,14 +32,73 @@
         @Override
         public void leaving(UpstreamInstance instance) {}
 
+        @Override
+        public void outdated(UpstreamInstance instance) {}
+
         @Override
         public void dropped(UpstreamInstance instance, String reason) {}
     });
     private long now = 1_000;
 
     private static UpstreamInstance entry(int key, long startedAtMillis, boolean leaving) {
+        return entry(key, startedAtMillis, leaving, 1);
+    }
+
+    private static UpstreamInstance entry(int key, long startedAtMillis, boolean leaving, long heartbeatNumber) {
         return new UpstreamInstance(
-                "i-" + key, "desk", "niseko", "10.0.0." + key, 80, "v1", 8, leaving, 0, startedAtMillis, 1);
+                "i-" + key,
+                "desk",
+                "niseko",
+                "10.0.0." + key,
+                80,
+                "v1",
+                8,
+                leaving,
+                0,
+                startedAtMillis,
+                heartbeatNumber);
+    }
+
+    /**
+     * Guards against requests for an upstream that drains, because the store has executed an earlier heartbeat of it
+     * after the one that announced the draining. Without a start time, a lower number may belong to a restart.
+     */
+    @ParameterizedTest(
+            name = "start time {0}, draining with heartbeat 15, ready with heartbeat {1}, removed between: {2}")
+    @CsvSource({
+        "7, 12, false, false",
+        "7, 14, false, false",
+        "7, 12, true, false",
+        "7, 16, false, true",
+        "0, 12, false, true",
+        "0, 12, true, true",
+    })
+    void aLateHeartbeatDoesNotRevokeDraining(
+            long startedAtMillis, long lateNumber, boolean removedBetween, boolean used) {
+        registry.recordStoreAvailable(now);
+        registry.put("a", entry(1, startedAtMillis, false, 2), now);
+        registry.put("a", entry(1, startedAtMillis, true, 15), now);
+        if (removedBetween) {
+            registry.remove("a", now);
+        }
+
+        registry.put("a", entry(1, startedAtMillis, false, lateNumber), now + 1_000);
+
+        assertThat(registry.table().all().get(0).isInService(now + 1_000), is(used));
+    }
+
+    /** Guards against a complete read that makes a draining upstream ready, since the store holds the late heartbeat. */
+    @ParameterizedTest(name = "heartbeats of the store after draining: {0}, {1}")
+    @CsvSource({"12, 13, false", "12, 16, true"})
+    void aCompleteReadFollowsTheLatestHeartbeat(long first, long second, boolean used) {
+        registry.recordStoreAvailable(now);
+        registry.put("a", entry(1, 7, true, 15), now);
+        for (long number : new long[] {first, second}) {
+            registry.put("a", entry(1, 7, false, number), now);
+            registry.retain(Set.of("a"), now);
+        }
+
+        assertThat(registry.table().all().get(0).isInService(now), is(used));
     }
 
     @ParameterizedTest(name = "removed {0} ms after the outage, asked {1} ms after it")
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -304,6 +304,15 @@
             log.line("upstream_leaving").text("upstream", instance.id()).write();
         }
 
+        @Override
+        public void outdated(UpstreamInstance instance) {
+            log.line("upstream_entry_outdated")
+                    .text("upstream", instance.id())
+                    .number("heartbeat", instance.heartbeatNumber())
+                    .flag("leaving", instance.leaving())
+                    .write();
+        }
+
         @Override
         public void dropped(UpstreamInstance instance, String reason) {
             log.line("upstream_gone")
