Let the incarnation that was started last have its address

All 9 calls over 22 s got 503, also 20 s after the late entry had gone.

Cause: InstanceRegistry.put ended whatever incarnation was listed with the address of a new entry, in the order of the entries. The sound engine's own entry does not change again, so nothing revoked its end.

AddressAssignment compares the start times, and gives the address back when the entry that had it is dropped. Where a start time is unknown, the order decides as before. If clocks are wrong and the later incarnation counts as the earlier one, it gets requests once the entry of its ended predecessor expires, after three heartbeats. A map by address also replaces a search of all upstreams for each new entry.

InstanceRegistryTest: the four new rows failed before.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -43,6 +43,7 @@
     private final AtomicLong endedAtMillis = new AtomicLong(Long.MAX_VALUE);
     private final AtomicLong heldOffUntilMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicBoolean leavingAnnounced = new AtomicBoolean();
+    private final AtomicBoolean superseded = new AtomicBoolean();
     private final AtomicReference<@Nullable ReportedLoad> reportedLoad = new AtomicReference<>();
     private final Snapshot<Double> failureRate = new Snapshot<>(0.0);
     private final Snapshot<PrefixCacheContents> prefixCache = new Snapshot<>(PrefixCacheContents.UNKNOWN);
@@ -231,9 +232,20 @@
         endedAtMillis.set(Long.MAX_VALUE);
     }
 
-    /** Returns whether the upstream is part of its service: it is not leaving and its incarnation has not ended. */
+    /** Records whether another incarnation that is listed has the address; returns whether this has changed. */
+    public boolean setSuperseded(boolean byAnother) {
+        return superseded.getAndSet(byAnother) != byAnother;
+    }
+
+    /**
+     * Returns whether the upstream is part of its service: it is not leaving, its incarnation has not ended, and no
+     * other one has its address.
+     */
     public boolean isInService(long nowMillis) {
-        return !instance.get().leaving() && !leavingAnnounced.get() && nowMillis < endedAtMillis.get();
+        return !instance.get().leaving()
+                && !leavingAnnounced.get()
+                && !superseded.get()
+                && nowMillis < endedAtMillis.get();
     }
 
     /** Returns whether a request may be sent: the upstream is in service and has not asked for a pause. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
@@ -28,8 +28,8 @@
     /** Limits the memory for upstreams that never return. */
     private static final int MAX_DROPPED = 1_024;
 
-    private final Predicate<String> isServiceKnown;
     private final Listener listener;
+    private final AddressAssignment addresses;
     private final Map<String, InstanceState> instances = new HashMap<>();
     private final Map<String, Long> expiredAtMillis = new HashMap<>();
     /** States of dropped incarnations, oldest first, since an entry that expired can be listed again. */
@@ -51,8 +51,8 @@
      * @param isServiceKnown tells whether the configuration names a service
      */
     public InstanceRegistry(Predicate<String> isServiceKnown, Listener listener) {
-        this.isServiceKnown = isServiceKnown;
         this.listener = listener;
+        this.addresses = new AddressAssignment(isServiceKnown, listener);
     }
 
     /** Records that the store is available; returns whether it was not before. */
@@ -101,11 +101,14 @@
             }
             return false;
         }
-        if (isServiceKnown.test(entry.service())) {
-            // Entries of services that nobody configured may come from another writer and prove nothing.
-            endPreviousIncarnation(entry.address(), nowMillis);
+        InstanceState listed = stateOf(key, entry);
+        instances.put(key, listed);
+        if (known != null) {
+            // A new incarnation under the same id. Its predecessor may have more requests than those that it ran.
+            known.markEnded(nowMillis);
+            addresses.remove(known);
         }
-        instances.put(key, stateOf(key, entry));
+        addresses.add(listed);
         listener.listed(entry);
         return true;
     }
@@ -133,15 +136,6 @@
         return previous;
     }
 
-    /** Ends the previous incarnation at an address, whose own entry expires only seconds after its crash. */
-    private void endPreviousIncarnation(String address, long nowMillis) {
-        for (InstanceState each : instances.values()) {
-            if (each.instance().address().equals(address)) {
-                each.markEnded(nowMillis);
-            }
-        }
-    }
-
     /** Handles the removal of an entry; returns whether the table has changed. */
     public boolean remove(String key, long nowMillis) {
         InstanceState known = instances.get(key);
@@ -191,6 +185,7 @@
         instances.remove(key);
         expiredAtMillis.remove(key);
         known.markEnded(nowMillis);
+        addresses.remove(known);
         dropped.put(key, known);
         listener.dropped(known.instance(), reason);
     }
@@ -211,6 +206,9 @@
         /** Called when a heartbeat is listed after a later one of the same incarnation. */
         void outdated(UpstreamInstance instance);
 
+        /** Called when an incarnation gets no more requests because another one has its address. */
+        void superseded(UpstreamInstance instance, UpstreamInstance holder);
+
         /** Called when an incarnation is no longer in use; the reason is the one that is logged. */
         void dropped(UpstreamInstance instance, String reason);
     }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
@@ -35,6 +35,9 @@
         @Override
         public void outdated(UpstreamInstance instance) {}
 
+        @Override
+        public void superseded(UpstreamInstance instance, UpstreamInstance holder) {}
+
         @Override
         public void dropped(UpstreamInstance instance, String reason) {}
     });
@@ -165,6 +168,37 @@
         assertThat(registry.table().all().get(0).isInService(now + 1_000), is(used));
     }
 
+    /**
+     * Guards against a sound upstream that gets no requests for good, because a late heartbeat of its predecessor at the
+     * same address was listed after it. The predecessor's entry expires again after some seconds.
+     */
+    @ParameterizedTest(name = "started at {0}, another one at {1} listed after it: {2}; it has gone: {3}")
+    @CsvSource({
+        "200, 100, true, true",
+        "100, 200, false, true",
+        "0, 100, false, true",
+        "200, 0, false, true",
+    })
+    void theLatestIncarnationHasTheAddress(
+            long startedAtMillis, long otherStartedAtMillis, boolean used, boolean usedAfterwards) {
+        registry.recordStoreAvailable(now);
+        registry.put("a", at("10.0.0.9", "i-1", startedAtMillis), now);
+        InstanceState first = registry.table().all().get(0);
+
+        registry.put("b", at("10.0.0.9", "i-2", otherStartedAtMillis), now);
+        long inService =
+                registry.table().all().stream().filter(this::isInService).count();
+        assertThat(isInService(first), is(used));
+        assertThat("one incarnation has the address", inService, is(1L));
+
+        registry.remove("b", now + 4_000);
+        assertThat(isInService(first), is(usedAfterwards));
+    }
+
+    private static UpstreamInstance at(String host, String id, long startedAtMillis) {
+        return new UpstreamInstance(id, "desk", "niseko", host, 80, "v1", 8, false, 0, startedAtMillis, 1);
+    }
+
     /** One step of a generated history. */
     enum Step {
         LIST,
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -313,6 +313,15 @@
                     .write();
         }
 
+        @Override
+        public void superseded(UpstreamInstance instance, UpstreamInstance holder) {
+            log.line("upstream_superseded")
+                    .text("upstream", instance.id())
+                    .text("address", instance.address())
+                    .text("holder", holder.id())
+                    .write();
+        }
+
         @Override
         public void dropped(UpstreamInstance instance, String reason) {
             log.line("upstream_gone")
