Recognize late heartbeats of upstreams without a start time

A restart counts anew, from below the first number that was seen of its predecessor; a number between the first and the latest one is a late heartbeat. InstanceState.update now decides both, and InstanceRegistryTest has the rows.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -32,6 +32,7 @@
     private static final double FAILURE_RATE_WEIGHT = 0.15;
 
     private final Snapshot<UpstreamInstance> instance;
+    private final AtomicLong firstHeartbeatNumber;
     private final long idHash;
     private final AtomicInteger inFlightCount = new AtomicInteger();
     private final AtomicLong kvCacheTokens = new AtomicLong();
@@ -51,6 +52,7 @@
     /** Creates the state of an incarnation of which only its entry in the platform's list is known. */
     public InstanceState(UpstreamInstance instance) {
         this.instance = new Snapshot<>(instance);
+        this.firstHeartbeatNumber = new AtomicLong(instance.heartbeatNumber());
         this.idHash = RendezvousHash.hash(instance.id());
     }
 
@@ -64,9 +66,21 @@
         return idHash;
     }
 
-    /** Replaces the entry by a later one of the same incarnation. */
-    public void update(UpstreamInstance later) {
-        instance.replace(later);
+    /**
+     * Replaces the entry by another one of the same incarnation, unless that one was written earlier; returns whether
+     * it was replaced. Where no start time tells restarts apart, a number up to the first known one belongs to a
+     * restart, whose numbers start anew, and a number between the first and the latest one to a late entry.
+     */
+    public boolean update(UpstreamInstance entry) {
+        long number = entry.heartbeatNumber();
+        boolean lower = number < instance.get().heartbeatNumber();
+        boolean restartPossible = entry.startedAtMillis() == 0 && number <= firstHeartbeatNumber.get();
+        if (lower && !restartPossible) {
+            return false;
+        }
+        firstHeartbeatNumber.accumulateAndGet(number, Math::min);
+        instance.replace(entry);
+        return true;
     }
 
     /**
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamInstance.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/UpstreamInstance.java
@@ -38,12 +38,4 @@
                 && startedAtMillis == other.startedAtMillis
                 && address().equals(other.address());
     }
-
-    /**
-     * Returns whether this entry was written before another one of the same incarnation. False if the start time is
-     * unknown, because a lower heartbeat number may then belong to a restart.
-     */
-    public boolean precedes(UpstreamInstance other) {
-        return startedAtMillis > 0 && isSameIncarnation(other) && heartbeatNumber < other.heartbeatNumber;
-    }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
@@ -118,10 +118,8 @@
      * others; such an entry shows that the upstream is listed, but it does not revoke what a later one announced.
      */
     private void update(InstanceState known, UpstreamInstance entry) {
-        if (entry.precedes(known.instance())) {
+        if (!known.update(entry)) {
             listener.outdated(entry);
-        } else {
-            known.update(entry);
         }
         known.clearEnded();
     }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
@@ -64,7 +64,8 @@
 
     /**
      * Guards against requests for an upstream that drains, because the store has executed an earlier heartbeat of it
-     * after the one that announced the draining. Without a start time, a lower number may belong to a restart.
+     * after the one that announced the draining. Without a start time, a number up to the first one that was seen, 2
+     * here, belongs to a restart.
      */
     @ParameterizedTest(
             name = "start time {0}, draining with heartbeat 15, ready with heartbeat {1}, removed between: {2}")
@@ -73,8 +74,12 @@
         "7, 14, false, false",
         "7, 12, true, false",
         "7, 16, false, true",
-        "0, 12, false, true",
-        "0, 12, true, true",
+        "0, 12, false, false",
+        "0, 12, true, false",
+        "0, 3, false, false",
+        "0, 1, false, true",
+        "0, 2, false, true",
+        "0, 1, true, true",
     })
     void aLateHeartbeatDoesNotRevokeDraining(
             long startedAtMillis, long lateNumber, boolean removedBetween, boolean used) {
