Bound the bytes of all responses that a gateway buffers

Reported by an operator of a similar system: a faulty engine sent bytes without end until the caller closed, the machine kept them, ran out of memory, and the requests of other clients ended with it.

Cause: a response may take 16 MB, and nothing limits how many do so at once; 8 of them fill the heap of 128 MB. An event of a stream may take 1 MB, and a list of cached prefixes 1 MB for each of 64 engines.

All three now reserve their bytes in one budget of a third of the heap. A buffer may grow up to the size that is still free, so that responses without end stop each other early and always leave room for small ones. The bytes are returned when the last user of the body releases it, after it was written to the caller. Chunks replace an array that doubles, which took up to three times the size of the body.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/EventFramer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/EventFramer.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 
+import io.laburnummoor.core.process.BufferBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 
@@ -11,20 +12,32 @@
     /** Limit on the size of one event, so that a faulty upstream cannot exhaust the memory. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /** A read of the socket returns no more than this. */
+    private static final int UNRESERVED_BYTES = 65_536;
+
     private static final byte LINE_END = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final String ID_FIELD = "id:";
 
+    private final BufferBudget budget;
     private final ByteBuf pending = Unpooled.buffer(256);
+    /** Part of the buffer that is reserved in the budget. */
+    private int reservedBytes;
     /** Bytes from the start of the incomplete event that hold no blank line, so that each byte is searched once. */
     private int searchedBytes;
 
+    /** Creates a framer without bytes. */
+    public EventFramer(BufferBudget budget) {
+        this.budget = budget;
+    }
+
     /**
      * Appends bytes and passes each event that is complete to the consumer.
      *
-     * @throws IllegalArgumentException if an event exceeds the size limit or its id is not a number
+     * @throws IllegalArgumentException if an event exceeds the size limit or the budget, or its id is not a number
      */
     public void add(ByteBuf bytes, Consumer<Event> consumer) {
+        reserve(pending.readableBytes() + bytes.readableBytes());
         pending.writeBytes(bytes);
         int end = findEventEnd();
         while (end >= 0) {
@@ -39,6 +52,24 @@
         pending.discardReadBytes();
     }
 
+    /** Reserves the bytes of an incomplete event; the usual events, which are smaller, take none of the budget. */
+    private void reserve(int neededBytes) {
+        if (neededBytes <= Math.max(UNRESERVED_BYTES, reservedBytes)) {
+            return;
+        }
+        int moreBytes = 2 * neededBytes - reservedBytes;
+        if (!budget.tryReserve(reservedBytes, moreBytes)) {
+            throw new IllegalArgumentException("no memory is left for an event of " + neededBytes + " bytes");
+        }
+        reservedBytes += moreBytes;
+    }
+
+    /** Returns the reserved bytes to the budget; the framer is not used afterwards. */
+    public void close() {
+        budget.release(reservedBytes);
+        reservedBytes = 0;
+    }
+
     /** Returns whether an incomplete event is buffered. */
     public boolean hasPartialEvent() {
         return pending.isReadable();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.process.BufferBudget;
 import io.laburnummoor.core.process.InstanceTable;
 import io.laburnummoor.core.process.RecentChanges;
 import io.laburnummoor.core.process.StreamDurationEstimator;
@@ -23,6 +24,8 @@
  */
 public final class GatewayState {
     private static final long RUNNING = Long.MIN_VALUE;
+    /** Part of the heap for bytes of upstreams. */
+    private static final int HEAP_PART_FOR_BUFFERS = 3;
 
     private final AtomicReference<@Nullable ForwardConfig> config = new AtomicReference<>();
     private final Snapshot<InstanceTable> instances = new Snapshot<>(InstanceTable.EMPTY);
@@ -32,6 +35,8 @@
     private final AtomicInteger openRequests = new AtomicInteger();
     private final Snapshot<Map<String, InetSocketAddress>> peers = new Snapshot<>(Map.of());
     private final RecentChanges recentChanges = new RecentChanges();
+    private final BufferBudget bufferBudget =
+            new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PART_FOR_BUFFERS);
     private final StreamDurationEstimator streamDuration = new StreamDurationEstimator();
 
     /** Returns the current configuration, or null if none is known. */
@@ -125,6 +130,11 @@
         return recentChanges;
     }
 
+    /** Returns the limit on the bytes of upstreams that the process buffers. */
+    public BufferBudget bufferBudget() {
+        return bufferBudget;
+    }
+
     /** Returns the estimate of the duration of streams. */
     public StreamDurationEstimator streamDuration() {
         return streamDuration;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -3,14 +3,15 @@
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.process.BufferBudget;
 import io.laburnummoor.core.version.ForwardRoute;
 import io.laburnummoor.gateway.connection.EventFramer;
+import io.laburnummoor.gateway.connection.ResponseBuffer;
 import io.laburnummoor.gateway.connection.UpstreamConnection;
 import io.laburnummoor.gateway.connection.UpstreamListener;
 import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewayContext;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -44,11 +45,12 @@
     private final long totalTokens;
     private final long prefillTokensAtStart;
     private final long startedAtMillis;
-    private final EventFramer framer = new EventFramer();
+    private final BufferBudget bufferBudget;
+    private final EventFramer framer;
     private @Nullable UpstreamConnection connection;
     private @Nullable UpstreamResponseHead head;
     private @Nullable HttpHeaders responseHeaders;
-    private @Nullable ByteBuf fullBody;
+    private @Nullable ResponseBuffer fullBody;
     private long lastActivityMillis;
     private boolean streaming;
     private boolean prefillDone;
@@ -70,6 +72,8 @@
         this.codec = context.headerCodec();
         this.clock = context.clock();
         this.log = context.log();
+        this.bufferBudget = context.state().bufferBudget();
+        this.framer = new EventFramer(bufferBudget);
         this.streamRequested = route.streaming();
         this.numberedEvents = route.retryPolicy().mayResumeStream();
         this.target = target;
@@ -118,6 +122,7 @@
             fullBody.release();
             fullBody = null;
         }
+        framer.close();
     }
 
     void setAutoRead(boolean reading) {
@@ -211,7 +216,7 @@
         }
         streaming = responseHead.isSuccess() && streamRequested;
         if (!streaming) {
-            fullBody = Unpooled.buffer();
+            fullBody = new ResponseBuffer(bufferBudget, MAX_BUFFERED_RESPONSE_BYTES);
         }
     }
 
@@ -224,12 +229,9 @@
             readEvents(content);
             return;
         }
-        ByteBuf body = fullBody;
-        if (body != null) {
-            body.writeBytes(content);
-            if (body.readableBytes() > MAX_BUFFERED_RESPONSE_BYTES) {
-                failOnProtocolError("answer is larger than " + MAX_BUFFERED_RESPONSE_BYTES + " bytes");
-            }
+        ResponseBuffer body = fullBody;
+        if (body != null && !body.append(content)) {
+            failOnProtocolError("answer does not fit into the memory after " + body.size() + " bytes");
         }
     }
 
@@ -273,10 +275,10 @@
             }
             return;
         }
-        ByteBuf body = fullBody;
+        ResponseBuffer body = fullBody;
         fullBody = null;
         if (body != null) {
-            session.onFullResponse(this, responseHead, headers, body);
+            session.onFullResponse(this, responseHead, headers, body.detach());
         }
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
@@ -1,12 +1,12 @@
 package io.laburnummoor.gateway.request;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.gateway.connection.ResponseBuffer;
 import io.laburnummoor.gateway.connection.UpstreamConnection;
 import io.laburnummoor.gateway.connection.UpstreamListener;
 import io.laburnummoor.gateway.connection.UpstreamPool;
@@ -93,7 +93,7 @@
     /** The query to one engine. */
     private final class EngineQuery implements UpstreamListener {
         private final InstanceState target;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final ResponseBuffer body = new ResponseBuffer(context.state().bufferBudget(), MAX_RESPONSE_BYTES);
         private Runnable callback = () -> {};
         private @Nullable UpstreamConnection connection;
         private boolean readable;
@@ -119,6 +119,7 @@
 
         private void cancel() {
             cancelled = true;
+            body.release();
             closeConnection();
         }
 
@@ -137,10 +138,7 @@
 
         @Override
         public void onContent(ByteBuf content) {
-            byte[] bytes = new byte[content.readableBytes()];
-            content.getBytes(content.readerIndex(), bytes);
-            body.writeBytes(bytes);
-            if (body.size() > MAX_RESPONSE_BYTES) {
+            if (!body.append(content)) {
                 cancel();
                 callback.run();
             }
@@ -151,13 +149,14 @@
             if (readable) {
                 record();
             }
+            body.release();
             connection = null;
             callback.run();
         }
 
         private void record() {
             try {
-                Set<String> keys = context.cachedPrefixCodec().decode(body.toByteArray());
+                Set<String> keys = context.cachedPrefixCodec().decode(body.toBytes());
                 cachedParts += keys.size();
                 target.recordPrefixCache(keys, context.clock().nowMillis());
             } catch (IllegalArgumentException malformed) {
@@ -173,6 +172,7 @@
 
         @Override
         public void onFailure(String cause) {
+            body.release();
             connection = null;
             callback.run();
         }
