Keep a silent attempt that nothing can replace

Cause, shown on loopback only: StreamMonitor reported a silent stream after half of its gap target, and the session cancelled the attempt first and looked for another one afterwards. With no other engine, no attempts or no retry budget left, it then closed the caller's connection in the middle of the answer. When many engines are silent at once, all their streams ask the budget in the same moment.

The session now abandons a silent attempt only if another upstream can take its place, the route allows the attempt and the budget grants it; otherwise the monitor asks again every 250 ms, and the request's deadline bounds the wait. An upstream that accepts no connections while a prompt is processed still ends its attempt at once.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -1,5 +1,6 @@
 package io.laburnummoor.gateway.request;
 
+import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -85,6 +86,14 @@
         return again == null || again.isEjected(now) || again.isFull(now) ? null : again;
     }
 
+    /** Returns whether another upstream could take the place of an attempt's. */
+    boolean hasOtherUpstream(Attempt attempt, Set<String> failedIds) {
+        Set<String> excludedIds = new HashSet<>(failedIds);
+        excludedIds.add(attempt.instance().id());
+        InstanceState other = selectUpstream(excludedIds, true);
+        return other != null && other != attempt.target();
+    }
+
     private @Nullable InstanceState select(Set<String> excludedIds, boolean afterLoss) {
         InstanceSelector.Criteria criteria = new InstanceSelector.Criteria(
                 service, excludedIds, request.callerHead().promptParts(), versionDraw, afterLoss);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptMonitor.java
@@ -44,8 +44,14 @@
 
     /** Receives the findings of a monitor. */
     interface Listener {
-        /** Called when the attempt is unresponsive and must be abandoned. */
-        void onUnresponsive(Attempt attempt, String cause);
+        /**
+         * Called when the attempt has been silent for too long; its upstream may still be sound. Returns whether the
+         * attempt was abandoned for another one. If not, the monitor asks again.
+         */
+        boolean onUnresponsive(Attempt attempt, String cause);
+
+        /** Called when the upstream of the attempt accepts no connections any more. */
+        void onUpstreamGone(Attempt attempt, String cause);
 
         /** Called at intervals while the attempt waits for its first event. */
         void onWaiting(Attempt attempt);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -348,19 +348,32 @@
     }
 
     @Override
-    public void onUnresponsive(Attempt attempt, String cause) {
+    public boolean onUnresponsive(Attempt attempt, String cause) {
         if (done || !running.isCurrent(attempt)) {
-            return;
+            return true;
         }
         if (!exchange.isWritable()) {
             // The caller does not read, so the upstream is silent because this router has stopped reading from it.
             attempt.recordActivity(now());
-            monitor.started(attempt);
-            return;
+            return false;
+        }
+        if (!launcher.hasOtherUpstream(attempt, failedIds) || !mayRetryNow()) {
+            return false;
         }
         launcher.recordMissingFirstEvent(attempt);
         attempt.cancel();
-        onLost(attempt, cause);
+        endLost(attempt, cause);
+        startAttempt("lost", false);
+        return true;
+    }
+
+    @Override
+    public void onUpstreamGone(Attempt attempt, String cause) {
+        if (!done && running.isCurrent(attempt)) {
+            launcher.recordMissingFirstEvent(attempt);
+            attempt.cancel();
+            onLost(attempt, cause);
+        }
     }
 
     /** Ends the request with the final response, or by closing the connection if a stream has started. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
@@ -83,9 +83,8 @@
             long stallMillis = timeouts.stallMillis();
             if (silentMillis < stallMillis) {
                 schedule(stallMillis - silentMillis);
-            } else {
+            } else if (abandoned(attempt, "silent")) {
                 timeouts.recordStall();
-                reportUnresponsive(attempt, "silent");
             }
         } else {
             checkBeforeFirstEvent(attempt, now);
@@ -98,8 +97,7 @@
             return;
         }
         if (!firstEventTimedOut && now - attempt.startedAtMillis() >= firstEventTimeoutMillis(attempt)) {
-            firstEventTimedOut = true;
-            reportUnresponsive(attempt, "no first event");
+            firstEventTimedOut = abandoned(attempt, "no first event");
             return;
         }
         long silentMillis =
@@ -121,16 +119,21 @@
             if (alive) {
                 attempt.target().recordLastSeen(clock.nowMillis());
             } else if (failedProbes >= LOST_AFTER_FAILED_PROBES) {
-                reportUnresponsive(attempt, "no connection while the prompt is read");
+                monitored = null;
+                listener.onUpstreamGone(attempt, "no connection while the prompt is read");
             } else {
                 probe(attempt);
             }
         });
     }
 
-    private void reportUnresponsive(Attempt attempt, String cause) {
-        monitored = null;
-        listener.onUnresponsive(attempt, cause);
+    /** Reports a silent attempt, and goes on monitoring it if nothing can take its place. */
+    private boolean abandoned(Attempt attempt, String cause) {
+        if (listener.onUnresponsive(attempt, cause)) {
+            return true;
+        }
+        schedule(PROBE_AFTER_MILLIS);
+        return false;
     }
 
     private long firstEventTimeoutMillis(Attempt attempt) {
