Count a request as open until its answer is written

Cause: a request counted as ended when its answer was queued. GatewayServer.stop saw no open request and shut the event loops down, and CallerConnection.checkTimeouts took a connection that was still being written for an idle one.

The caller's connection now counts its request from the moment it is read completely until the last byte of its response is written, for planned stops and the idle timeout alike. While a response is written, idle time counts from the last byte that the socket took; a caller that reads nothing for the idle timeout is disconnected, with the line caller_does_not_read. A connection that is to be closed after its response reads no further requests meanwhile, as before.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -52,6 +52,7 @@
     private final GatewayContext gateway;
     private final UpstreamPool pool;
     private final StrictRequestDecoder decoder;
+    private final WriteProgress writeProgress = new WriteProgress();
     private final Deque<Object> pipelined = new ArrayDeque<>();
     private @Nullable ScheduledFuture<?> timeoutTimer;
     private @Nullable HttpRequest head;
@@ -63,6 +64,8 @@
     private long partialHeadSinceMillis = -1;
     private boolean bytesReceived;
     private boolean closing;
+    /** Whether the whole response is queued and its last part is still being written. */
+    private boolean writing;
 
     CallerConnection(GatewayContext gateway, UpstreamPool pool, StrictRequestDecoder decoder) {
         this.gateway = gateway;
@@ -103,6 +106,7 @@
         if (open != null) {
             open.onCallerDisconnected();
         }
+        endExchange();
     }
 
     @Override
@@ -218,6 +222,7 @@
         CallerRequestHead caller = gateway.headerCodec().decodeCallerRequest(request.headers());
         CallerResponse exchange = new CallerResponse(this, context, gateway, caller, HttpUtil.isKeepAlive(request));
         response = exchange;
+        gateway.state().requestOpened();
         // Runs after the channel has been read, since the session reads it again before each send.
         context.executor().execute(() -> admit(context, request, bytes, caller, exchange));
     }
@@ -236,8 +241,8 @@
         boolean fresh = gateway.configFreshness()
                 .isWithinRevocationBound(gateway.settings().revocationMillis());
         ForwardConfig config = gateway.state().config();
-        RequestAuthorizer.Decision decision =
-                RequestAuthorizer.decide(config, fresh, hostOf(request), pathOf(request), caller.apiKey());
+        RequestAuthorizer.Decision decision = RequestAuthorizer.decide(
+                config, fresh, RequestTarget.hostOf(request), RequestTarget.pathOf(request), caller.apiKey());
         ForwardRoute route = decision.route();
         ForwardService service = config == null || route == null ? null : serviceOf(config, route);
         if (route == null || service == null) {
@@ -312,18 +317,6 @@
         exchange.sendLocalReply(reply);
     }
 
-    private static String hostOf(HttpRequest request) {
-        String host = request.headers().get(HttpHeaderNames.HOST, "");
-        int colon = host.lastIndexOf(':');
-        return colon < 0 ? host : host.substring(0, colon);
-    }
-
-    private static String pathOf(HttpRequest request) {
-        String target = request.uri();
-        int query = target.indexOf('?');
-        return query < 0 ? target : target.substring(0, query);
-    }
-
     /** Rejects a request that cannot be read completely and closes the connection. */
     private void refuseUnreadable(ChannelHandlerContext context, HttpResponseStatus status) {
         closing = true;
@@ -335,25 +328,44 @@
         context.writeAndFlush(refusal).addListener(written -> context.close());
     }
 
-    /** Called after the last part of a response has been queued for writing; continues with pipelined requests. */
-    void onExchangeEnded(ChannelHandlerContext context, boolean keepOpen) {
-        session = null;
-        response = null;
-        idleSinceMillis = now();
-        if (!keepOpen) {
-            closing = true;
+    /** Called when the last part of a response is queued for writing. */
+    void onResponseQueued(boolean keepOpen) {
+        closing |= !keepOpen;
+        writing = true;
+        writeProgress.start(now());
+    }
+
+    /** Called when the last part of a response has been written or cannot be; continues with pipelined requests. */
+    void onExchangeEnded(ChannelHandlerContext context, CallerResponse ended) {
+        if (response != ended) {
             return;
         }
+        session = null;
+        endExchange();
+        idleSinceMillis = now();
         while (response == null && !closing && !pipelined.isEmpty()) {
             handle(context, pipelined.pollFirst());
         }
     }
 
+    /** Counts the request as closed, once its response is written or its caller has gone. */
+    private void endExchange() {
+        if (response != null) {
+            response = null;
+            writing = false;
+            gateway.state().requestClosed();
+        }
+    }
+
     private void checkTimeouts(ChannelHandlerContext context) {
+        CallerLimits limits = gateway.state().limits();
+        if (writing && writeProgress.idleMillis(context.channel(), now()) > limits.idleTimeoutMillis()) {
+            gateway.log().line("caller_does_not_read").write();
+            context.close();
+        }
         if (response != null) {
             return;
         }
-        CallerLimits limits = gateway.state().limits();
         long now = now();
         boolean headLate = partialHeadSinceMillis >= 0 && now - partialHeadSinceMillis > limits.headerTimeoutMillis();
         boolean bodyLate = head != null && now - headArrivedAtMillis > limits.idleTimeoutMillis();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
@@ -116,10 +116,12 @@
             return;
         }
         ended = true;
+        connection.onResponseQueued(keep);
         ChannelFuture written = context.writeAndFlush(message);
+        // The write may end at once, while the session that called this has not ended yet.
+        written.addListener(done -> context.executor().execute(() -> connection.onExchangeEnded(context, this)));
         if (!keep) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
-        context.executor().execute(() -> connection.onExchangeEnded(context, keep));
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -100,17 +100,17 @@
         return refusingAll.get();
     }
 
-    /** Counts a request as open. */
+    /** Counts a request as open: it was read completely. */
     public void requestOpened() {
         openRequests.incrementAndGet();
     }
 
-    /** Counts a request as closed. */
+    /** Counts a request as closed: the last byte of its response was written, or its caller has gone. */
     public void requestClosed() {
         openRequests.decrementAndGet();
     }
 
-    /** Returns the number of requests without a final response. */
+    /** Returns the number of requests that were read and whose response has not been written to the end. */
     public int openRequestCount() {
         return openRequests.get();
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -51,7 +51,7 @@
     private @Nullable InstanceState resumeBackup;
     private boolean done;
 
-    /** Creates a session and counts its request as open. */
+    /** Creates a session for a request whose route and service are known. */
     public ForwardSession(
             GatewayContext context,
             EventLoop loop,
@@ -75,7 +75,6 @@
         this.deadlineMillis = request.deadlineMillis(route);
         this.delivery = new StreamDelivery(context, exchange, request, history, launcher, monitor, trace);
         this.deadlineTimer = loop.schedule(() -> fail("deadline_exceeded", 0), remaining(), TimeUnit.MILLISECONDS);
-        context.state().requestOpened();
     }
 
     /** Starts the first attempt. */
@@ -392,7 +391,6 @@
         monitor.stop();
         running.cancelAll();
         finalResponse.release();
-        context.state().requestClosed();
         launcher.loadChanged();
         trace.requestEnded(outcome, status, history, delivery.lastEventId(), remaining());
     }
