--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/BufferBudget.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/BufferBudget.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Limits the bytes that all buffers of the process hold for bytes of upstreams. A buffer may grow up to the size that is
- * still free: responses without end, which fill one buffer each, then leave a part of the budget to the others, however
- * many there are. Thread-safe without a lock.
+ * Limits the memory of all buffers that hold bytes of upstreams. A buffer may grow up to the size that is still free:
+ * responses without end, which fill one buffer each, then leave a part of the budget to the others, however many there
+ * are. Thread-safe without a lock.
  */
 public final class BufferBudget {
     private final long limitBytes;
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
@@ -95,7 +95,7 @@
         assertThat(registry.table().all().get(0).isInService(now + 1_000), is(used));
     }
 
-    /** Guards against a complete read that makes a draining upstream ready, since the store holds the late heartbeat. */
+    /** Guards against a complete read that makes a draining upstream ready: the store holds the late heartbeat. */
     @ParameterizedTest(name = "heartbeats of the store after draining: {0}, {1}")
     @CsvSource({"12, 13, false", "12, 16, true"})
     void aCompleteReadFollowsTheLatestHeartbeat(long first, long second, boolean used) {
@@ -174,8 +174,8 @@
     }
 
     /**
-     * Guards against a sound upstream that gets no requests for good, because a late heartbeat of its predecessor at the
-     * same address was listed after it. The predecessor's entry expires again after some seconds.
+     * Guards against a sound upstream that gets no requests for good, because a late heartbeat of its predecessor at
+     * the same address was listed after it. The predecessor's entry expires again after some seconds.
      */
     @ParameterizedTest(name = "started at {0}, another one at {1} listed after it: {2}; it has gone: {3}")
     @CsvSource({
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/WriteProgress.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/WriteProgress.java
@@ -4,8 +4,8 @@
 import io.netty.channel.ChannelOutboundBuffer;
 
 /**
- * Tells whether a caller still reads a response that has been queued for it. Slow callers on slow links are no idle ones:
- * idle time counts from the last byte that the socket took. Confined to the event loop of the channel.
+ * Tells whether a caller still reads a response that has been queued for it. Slow callers on slow links are no idle
+ * ones: idle time counts from the last byte that the socket took. Confined to the event loop of the channel.
  */
 final class WriteProgress {
     private long pendingBytes;
