Reach the bound of the response buffers in its test

Its bound was a third of the test's own heap, 2 GB, so 40 responses grew to 16 MB each and met the route's timeout of 1.5 s first; the bound itself was never reached.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -35,10 +35,19 @@
     private final AtomicInteger openRequests = new AtomicInteger();
     private final Snapshot<Map<String, InetSocketAddress>> peers = new Snapshot<>(Map.of());
     private final RecentChanges recentChanges = new RecentChanges();
-    private final BufferBudget bufferBudget =
-            new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PART_FOR_BUFFERS);
+    private final BufferBudget bufferBudget;
     private final StreamDurationEstimator streamDuration = new StreamDurationEstimator();
 
+    /** Creates a state whose buffers for bytes of upstreams may take a part of the heap. */
+    public GatewayState() {
+        this(new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PART_FOR_BUFFERS));
+    }
+
+    /** Creates a state with a budget for the bytes of upstreams. */
+    public GatewayState(BufferBudget bufferBudget) {
+        this.bufferBudget = bufferBudget;
+    }
+
     /** Returns the current configuration, or null if none is known. */
     public @Nullable ForwardConfig config() {
         return config.get();
