--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -149,11 +149,7 @@
         if (body != null) {
             request.setEntity(new StringEntity(body.toString(), ContentType.APPLICATION_JSON));
         }
-        return client.execute(request, response -> {
-            JsonNode document = readBounded(request, response);
-            boolean success = response.getCode() == HttpStatus.SC_OK;
-            return new Reply(response.getCode(), success ? document : MissingNode.getInstance());
-        });
+        return client.execute(request, response -> new Reply(response.getCode(), readBounded(request, response)));
     }
 
     private JsonNode execute(HttpUriRequestBase request) throws IOException {
@@ -166,7 +162,10 @@
         });
     }
 
-    /** Reads a document up to the limit; an answer that goes on behind it is cut off, since it may have no end. */
+    /**
+     * Reads a document up to the limit; an answer that goes on behind it is cut off, since it may have no end. Only the
+     * body of a success is a document, that of another status counts as missing.
+     */
     private JsonNode readBounded(HttpUriRequestBase request, ClassicHttpResponse response) throws IOException {
         HttpEntity entity = response.getEntity();
         if (entity == null) {
