Derive whether a response is being written, and look up an address once

CallerConnection kept in a field what CallerResponse knows: that the last part is queued. AddressAssignment looked its list up a second time. Behaviour stays: InstanceRegistryTest, SlowCallerTest, PlannedStopTest, DepartedCallerTest and ForwardingTest pass.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AddressAssignment.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AddressAssignment.java
@@ -28,9 +28,10 @@
     }
 
     void add(InstanceState state) {
-        String address = state.instance().address();
-        listedByAddress.computeIfAbsent(address, key -> new ArrayList<>()).add(state);
-        assign(address);
+        List<InstanceState> listed =
+                listedByAddress.computeIfAbsent(state.instance().address(), key -> new ArrayList<>());
+        listed.add(state);
+        assign(listed);
     }
 
     void remove(InstanceState state) {
@@ -43,12 +44,11 @@
         if (listed.isEmpty()) {
             listedByAddress.remove(address);
         } else {
-            assign(address);
+            assign(listed);
         }
     }
 
-    private void assign(String address) {
-        List<InstanceState> listed = listedByAddress.getOrDefault(address, List.of());
+    private void assign(List<InstanceState> listed) {
         InstanceState holder = holderOf(listed);
         for (InstanceState each : listed) {
             if (holder == null || each == holder) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -64,8 +64,6 @@
     private long partialHeadSinceMillis = -1;
     private boolean bytesReceived;
     private boolean closing;
-    /** Whether the whole response is queued and its last part is still being written. */
-    private boolean writing;
 
     CallerConnection(GatewayContext gateway, UpstreamPool pool, StrictRequestDecoder decoder) {
         this.gateway = gateway;
@@ -331,7 +329,6 @@
     /** Called when the last part of a response is queued for writing. */
     void onResponseQueued(boolean keepOpen) {
         closing |= !keepOpen;
-        writing = true;
         writeProgress.start(now());
     }
 
@@ -352,18 +349,14 @@
     private void endExchange() {
         if (response != null) {
             response = null;
-            writing = false;
             gateway.state().requestClosed();
         }
     }
 
     private void checkTimeouts(ChannelHandlerContext context) {
         CallerLimits limits = gateway.state().limits();
-        if (writing && writeProgress.idleMillis(context.channel(), now()) > limits.idleTimeoutMillis()) {
-            gateway.log().line("caller_does_not_read").write();
-            context.close();
-        }
         if (response != null) {
+            closeIfNotRead(context, response, limits);
             return;
         }
         long now = now();
@@ -378,6 +371,13 @@
         }
     }
 
+    private void closeIfNotRead(ChannelHandlerContext context, CallerResponse current, CallerLimits limits) {
+        if (current.hasEnded() && writeProgress.idleMillis(context.channel(), now()) > limits.idleTimeoutMillis()) {
+            gateway.log().line("caller_does_not_read").write();
+            context.close();
+        }
+    }
+
     private void releaseBody() {
         if (body != null) {
             body.release();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
@@ -50,6 +50,11 @@
         keepAlive = false;
     }
 
+    /** Returns whether the last part of the response is queued for writing, or the response was aborted. */
+    boolean hasEnded() {
+        return ended;
+    }
+
     @Override
     public void sendResponse(int status, HttpHeaders headers, ByteBuf body) {
         FullHttpResponse response =
