Drop expired upstreams also after a fault of the follower

It gets no requests after its deadline in either case; the list and the log were wrong.

The drop is a guarded task of its own now.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -91,9 +91,11 @@
 
     private void run() {
         Runnable guardedPoll = new GuardedTask(this::pollOnce, this::onFault);
+        Runnable guardedExpiry = new GuardedTask(this::dropExpired, this::onFault);
         while (!stopping) {
             pauseMillis = StorePollSchedule.RETRY_MILLIS;
             guardedPoll.run();
+            guardedExpiry.run();
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(pauseMillis));
         }
     }
@@ -105,6 +107,9 @@
         } catch (LaburnummoorException failure) {
             onStoreFailure(failure);
         }
+    }
+
+    private void dropExpired() {
         if (registry.dropExpired(clock.nowMillis())) {
             publish();
         }
