Log bytes that answer no request and the connection of the response that was taken

The log could not tell a response that was joined from two, a second response with the same id, and a response that was not checked for its request. upstream_unsolicited_bytes shows what arrives on an idle connection, also bytes that the decoder keeps; request_ended, attempt_lost, not_executed and upstream_error show how many requests the connection has carried, and attempt_lost names the id of the response that came. No logic changes.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerChannelInitializer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerChannelInitializer.java
@@ -32,7 +32,8 @@
 
     @Override
     protected void initChannel(SocketChannel channel) {
-        UpstreamPool pool = pools.computeIfAbsent(channel.eventLoop(), loop -> new UpstreamPool(loop, gateway.clock()));
+        UpstreamPool pool = pools.computeIfAbsent(
+                channel.eventLoop(), loop -> new UpstreamPool(loop, gateway.clock(), this::recordUnsolicitedBytes));
         StrictRequestDecoder decoder =
                 new StrictRequestDecoder(gateway.state().limits().headerBytes());
         CallerConnection connection = new CallerConnection(gateway, pool, decoder);
@@ -45,6 +46,16 @@
                 .addLast(connection);
     }
 
+    private void recordUnsolicitedBytes(String address, int byteCount, int requestCount) {
+        gateway.metrics().unsolicitedBytes();
+        gateway.log()
+                .line("upstream_unsolicited_bytes")
+                .text("address", address)
+                .number("bytes", byteCount)
+                .number("connection_requests", requestCount)
+                .write();
+    }
+
     /** Reports received bytes to the connection, since the decoder may buffer them until the head is complete. */
     private static final class ReadObserver extends ChannelInboundHandlerAdapter {
         private final CallerConnection connection;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -27,6 +27,7 @@
     private final String key;
     private @Nullable Channel channel;
     private @Nullable UpstreamListener listener;
+    private int requestCount;
     private boolean headReceived;
     private int informationalCount;
     private boolean skippingInformational;
@@ -50,6 +51,7 @@
     public void send(FullHttpRequest request, UpstreamListener answerListener) {
         Channel target = channel;
         listener = answerListener;
+        requestCount++;
         headReceived = false;
         informationalCount = 0;
         skippingInformational = false;
@@ -93,6 +95,15 @@
         pool.release(this);
     }
 
+    /** Returns the number of requests that were sent on this connection. */
+    public int requestCount() {
+        return requestCount;
+    }
+
+    boolean isAwaitingResponse() {
+        return listener != null;
+    }
+
     boolean isOpen() {
         Channel target = channel;
         return target != null && target.isActive() && !failed;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
@@ -50,13 +50,15 @@
 
     private final EventLoop loop;
     private final Clock clock;
+    private final UnsolicitedBytesListener unsolicitedBytesListener;
     private final Map<String, Deque<UpstreamConnection>> idleByKey = new HashMap<>();
     private boolean sweepScheduled;
 
     /** Creates a pool without connections. */
-    public UpstreamPool(EventLoop loop, Clock clock) {
+    public UpstreamPool(EventLoop loop, Clock clock, UnsolicitedBytesListener unsolicitedBytesListener) {
         this.loop = loop;
         this.clock = clock;
+        this.unsolicitedBytesListener = unsolicitedBytesListener;
     }
 
     /** Takes a usable idle connection from the pool, or returns null if there is none. */
@@ -95,6 +97,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
+                                .addLast(new UnsolicitedBytesHandler(connection, unsolicitedBytesListener))
                                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                                 .addLast(connection);
                     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -50,6 +50,10 @@
             .help("Requests whose caller left before the end, by whether an upstream had been sent the request.")
             .labelNames("sent")
             .register(registry);
+    private final Counter unsolicitedBytes = Counter.builder()
+            .name("laburnummoor_upstream_unsolicited_total")
+            .help("Reads from upstream connections on which no request was open.")
+            .register(registry);
     private final Counter storeCalls = Counter.builder()
             .name("laburnummoor_store_calls_total")
             .help("Calls to the platform's key-value service by result.")
@@ -86,6 +90,11 @@
         callersGone.labelValues(Boolean.toString(sent)).inc();
     }
 
+    /** Counts bytes from an upstream that belong to no open request. */
+    public void unsolicitedBytes() {
+        unsolicitedBytes.inc();
+    }
+
     /** Counts a call to the store. */
     public void storeCall(boolean succeeded) {
         storeCalls.labelValues(succeeded ? "ok" : "failed").inc();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -29,6 +29,8 @@
     private static final long IDLE_MARGIN_MILLIS = 500;
 
     private static final long MILLIS_PER_SECOND = 1_000;
+    /** The id of a response is whatever a faulty upstream sends. */
+    private static final int MAX_LOGGED_ID_LENGTH = 64;
 
     /**
      * Bytes of events without an id that are passed on between two events with one. Fewer than the queue of a caller's
@@ -61,6 +63,7 @@
     private boolean streaming;
     private boolean prefillDone;
     private int eventCount;
+    private int connectionRequestCount;
     /** Bytes of events without an id since the last one that has an id. */
     private int unnumberedBytes;
 
@@ -100,6 +103,7 @@
 
     void send(UpstreamConnection open, FullHttpRequest request) {
         connection = open;
+        connectionRequestCount = open.requestCount() + 1;
         open.send(request, this);
     }
 
@@ -141,6 +145,11 @@
         }
     }
 
+    /** Returns how many requests were sent on the attempt's connection, this one included; 0 if it was not sent. */
+    int connectionRequestCount() {
+        return connectionRequestCount;
+    }
+
     boolean hasEnded() {
         return ended;
     }
@@ -207,7 +216,7 @@
         }
         UpstreamResponseHead responseHead = codec.decodeUpstreamResponse(response);
         if (!session.answersThisRequest(responseHead)) {
-            failOnProtocolError("answer of another request");
+            failOnProtocolError("answer of another request: " + abbreviate(responseHead.attemptId()));
             return;
         }
         head = responseHead;
@@ -304,6 +313,10 @@
         }
     }
 
+    private static String abbreviate(@Nullable String id) {
+        return id == null ? "no id" : id.substring(0, Math.min(MAX_LOGGED_ID_LENGTH, id.length()));
+    }
+
     private void failOnProtocolError(String cause) {
         UpstreamConnection open = connection;
         if (open != null) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -212,7 +212,7 @@
         history.record(attempt.number(), AttemptStatus.ANSWERED);
         attempt.target().recordSuccess();
         crashReporter.onBegun();
-        trace.attemptEnded("answered");
+        trace.answered(attempt);
         delivery.end();
         finish("answered", HttpResponseStatus.OK.code());
     }
@@ -229,7 +229,7 @@
         if (head.isSuccess()) {
             attempt.target().recordSuccess();
             crashReporter.onBegun();
-            trace.attemptEnded("answered");
+            trace.answered(attempt);
             trace.responseStarted();
             launcher.recordOutcome(attempt, launcher.isSlowCall(attempt, now()));
             finalResponse.forward(response);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -21,6 +21,7 @@
     private final ForwardRequest request;
     private final ForwardRoute route;
     private final String service;
+    private @Nullable Attempt answeredBy;
 
     RequestTrace(GatewayContext context, ForwardRequest request, ForwardRoute route, String service) {
         this.context = context;
@@ -64,6 +65,7 @@
                 .text("upstream", attempt.instance().id())
                 .text("cause", cause)
                 .text("fate", status.name())
+                .number("connection_requests", attempt.connectionRequestCount())
                 .number("age_ms", now() - attempt.startedAtMillis())
                 .number("events", attempt.eventCount())
                 .number("ejected_ms", attempt.target().remainingEjectionMillis(now()))
@@ -98,10 +100,17 @@
                 .text("request", request.id())
                 .text("upstream", attempt.instance().id())
                 .number("status", status)
+                .number("connection_requests", attempt.connectionRequestCount())
                 .number("age_ms", now() - attempt.startedAtMillis())
                 .write();
     }
 
+    /** Records the attempt whose response the caller gets. */
+    void answered(Attempt attempt) {
+        answeredBy = attempt;
+        attemptEnded("answered");
+    }
+
     void attemptEnded(String result) {
         context.metrics().attemptEnded(service, result);
     }
@@ -137,6 +146,7 @@
         if (outcome.equals(CALLER_GONE)) {
             context.metrics().callerGone(history.wasSent());
         }
+        Attempt answer = answeredBy;
         context.log()
                 .line("request_ended")
                 .text("request", request.id())
@@ -144,6 +154,8 @@
                 .text("organisation", request.organisation())
                 .text("outcome", outcome)
                 .number("status", status)
+                .text("upstream", answer == null ? null : answer.instance().id())
+                .number("connection_requests", answer == null ? 0 : answer.connectionRequestCount())
                 .number("attempts", history.attemptCount())
                 .flag("sent", history.wasSent())
                 .number("last_event", lastEvent)
--- a/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/UpstreamPoolTest.java
+++ b/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/UpstreamPoolTest.java
@@ -38,8 +38,8 @@
     private final EventLoopGroup loops = new NioEventLoopGroup(1);
     private final EventLoop loop = loops.next();
     private final AtomicLong skippedMillis = new AtomicLong();
-    private final UpstreamPool pool =
-            new UpstreamPool(loop, () -> Clock.monotonic().nowMillis() + skippedMillis.get());
+    private final UpstreamPool pool = new UpstreamPool(
+            loop, () -> Clock.monotonic().nowMillis() + skippedMillis.get(), (address, byteCount, requestCount) -> {});
     private final SilentEngine engine = new SilentEngine();
 
     UpstreamPoolTest() throws IOException {}
