Keep the beginning of a second response from joining the next one

Cause: the beginning of a second response to an earlier request, without its id, arrived on a kept connection. The decoder kept it, since only decoded messages closed an idle connection, and the next response continued it: "HTTP/1.1 200 OK" and "HTTP/1.1 500 Failed" are one status line with the status 200 for the decoder. With an equal status nothing shows, and with the id of the first response the attempt is lost; so the reported kind is the one that remains.

That this is what the users saw cannot be shown from their record.

Fix: bytes of an idle connection close it before they reach the decoder, and so do bytes that are left behind a complete response; a connection is read once more before it is used again, which also finds one that the engine has closed; a head with a second status line in its reason phrase or a header is refused, since bytes that arrive after the next request cannot be told by their time.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UnsolicitedBytesHandler.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UnsolicitedBytesHandler.java
@@ -3,25 +3,26 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 
 /**
- * Reports bytes that arrive on an upstream connection while no request is open. Stands before the decoder, which keeps
- * the beginning of a response until the rest arrives.
+ * Keeps bytes that arrive while no request is open from the decoder, which would take them for the beginning of the
+ * next response.
  */
 final class UnsolicitedBytesHandler extends ChannelInboundHandlerAdapter {
     private final UpstreamConnection connection;
-    private final UnsolicitedBytesListener listener;
 
-    UnsolicitedBytesHandler(UpstreamConnection connection, UnsolicitedBytesListener listener) {
+    UnsolicitedBytesHandler(UpstreamConnection connection) {
         this.connection = connection;
-        this.listener = listener;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (!connection.isAwaitingResponse() && message instanceof ByteBuf bytes) {
-            listener.onUnsolicitedBytes(connection.key(), bytes.readableBytes(), connection.requestCount());
+        if (connection.isAwaitingResponse() || !(message instanceof ByteBuf bytes)) {
+            context.fireChannelRead(message);
+            return;
         }
-        context.fireChannelRead(message);
+        connection.onUnsolicitedBytes(bytes.readableBytes());
+        ReferenceCountUtil.release(message);
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,7 +17,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A connection to an upstream that carries one request at a time. Bytes received while no request is open close it.
+ * A connection to an upstream that carries one request at a time. Bytes received while no request is open close it, also
+ * if they are no complete message: the next response would continue them.
  * Confined to the event loop of its channel.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
@@ -25,6 +27,8 @@
 
     private final UpstreamPool pool;
     private final String key;
+    private final UpstreamResponseDecoder decoder;
+    private final UnsolicitedBytesListener unsolicitedBytesListener;
     private @Nullable Channel channel;
     private @Nullable UpstreamListener listener;
     private int requestCount;
@@ -37,9 +41,15 @@
     private long idleSinceMillis;
     private long idleLimitMillis;
 
-    UpstreamConnection(UpstreamPool pool, String key) {
+    UpstreamConnection(
+            UpstreamPool pool,
+            String key,
+            UpstreamResponseDecoder decoder,
+            UnsolicitedBytesListener unsolicitedBytesListener) {
         this.pool = pool;
         this.key = key;
+        this.decoder = decoder;
+        this.unsolicitedBytesListener = unsolicitedBytesListener;
     }
 
     @Override
@@ -57,6 +67,7 @@
         skippingInformational = false;
         reusable = false;
         closeDelimited = false;
+        decoder.expectResponseTo(request.method());
         if (target == null || !target.isActive()) {
             ReferenceCountUtil.release(request);
             fail("connection is closed");
@@ -109,6 +120,17 @@
         return target != null && target.isActive() && !failed;
     }
 
+    /**
+     * Reads what has arrived on the idle connection, since the event loop may not have come to it, and returns whether it
+     * is still open. Must not be called while the channel is being read.
+     */
+    boolean isOpenAfterRead() {
+        if (channel != null && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+        return isOpen();
+    }
+
     boolean isUsable(long nowMillis) {
         return isOpen() && nowMillis - idleSinceMillis < idleLimitMillis;
     }
@@ -136,6 +158,13 @@
         return key;
     }
 
+    /** Closes the connection because of bytes that belong to no open request. */
+    void onUnsolicitedBytes(int byteCount) {
+        failed = true;
+        unsolicitedBytesListener.onUnsolicitedBytes(key, byteCount, requestCount);
+        close();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -164,6 +193,10 @@
             fail("bytes are no answer");
             return;
         }
+        if (UpstreamResponseDecoder.isJoined(response)) {
+            fail("head is joined from two answers");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             informationalCount++;
             skippingInformational = true;
@@ -213,7 +246,10 @@
         }
         listener = null;
         current.onComplete();
-        if (reusable && !failed) {
+        int undecodedBytes = decoder.undecodedByteCount();
+        if (undecodedBytes > 0) {
+            onUnsolicitedBytes(undecodedBytes);
+        } else if (reusable && !failed) {
             setAutoRead(true);
             returnToPool();
         } else {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
@@ -20,7 +20,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -44,10 +44,6 @@
     /** Each close takes some system calls, during which the loop serves no request. */
     private static final int MAX_CLOSED_PER_SWEEP = 200;
 
-    private static final int MAX_LINE_BYTES = 4_096;
-    private static final int MAX_HEADER_BYTES = 32_768;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     private final EventLoop loop;
     private final Clock clock;
     private final UnsolicitedBytesListener unsolicitedBytesListener;
@@ -66,7 +62,7 @@
         Deque<UpstreamConnection> idle = idleByKey.get(keyOf(instance));
         while (idle != null && !idle.isEmpty()) {
             UpstreamConnection connection = idle.pollFirst();
-            if (connection.isUsable(nowMillis())) {
+            if (connection.isUsable(nowMillis()) && connection.isOpenAfterRead()) {
                 return connection;
             }
             connection.close();
@@ -86,7 +82,9 @@
 
     /** Opens a connection and passes it to the consumer, or null if the upstream cannot be reached. */
     public void open(UpstreamInstance instance, Consumer<@Nullable UpstreamConnection> consumer) {
-        UpstreamConnection connection = new UpstreamConnection(this, keyOf(instance));
+        UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
+        UpstreamConnection connection =
+                new UpstreamConnection(this, keyOf(instance), decoder, unsolicitedBytesListener);
         connection.setIdleLimit(DEFAULT_IDLE_MILLIS);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
@@ -97,8 +95,9 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new UnsolicitedBytesHandler(connection, unsolicitedBytesListener))
-                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(new UnsolicitedBytesHandler(connection))
+                                .addLast(decoder)
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
                     }
                 })
