Skip a second response to the request before and read on

A caller of an at-most-once call got 502 although its engine had answered it, and an idempotent call was repeated and its engine ejected, because a second response to the request before came first on the kept connection. The response was told by its id, but it was taken for a loss.

A response is skipped if its id is that of the request that the connection has answered last and its end is known by a length or chunks, once for each request; the connection is not used again. late_response_skipped and laburnummoor_upstream_late_responses_total show it.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -34,7 +34,10 @@
     private int requestCount;
     private boolean headReceived;
     private int informationalCount;
-    private boolean skippingInformational;
+    private boolean skipping;
+    private boolean lateResponseSkipped;
+    private @Nullable String openRequestId;
+    private @Nullable String answeredRequestId;
     private boolean reusable;
     private boolean closeDelimited;
     private boolean failed;
@@ -57,14 +60,20 @@
         channel = context.channel();
     }
 
-    /** Sends a request; the listener receives the response. */
-    public void send(FullHttpRequest request, UpstreamListener answerListener) {
+    /**
+     * Sends a request; the listener receives the response.
+     *
+     * @param requestId id that the response has, or null if it has none
+     */
+    public void send(FullHttpRequest request, @Nullable String requestId, UpstreamListener answerListener) {
         Channel target = channel;
         listener = answerListener;
         requestCount++;
         headReceived = false;
         informationalCount = 0;
-        skippingInformational = false;
+        skipping = false;
+        lateResponseSkipped = false;
+        openRequestId = requestId;
         reusable = false;
         closeDelimited = false;
         decoder.expectResponseTo(request.method());
@@ -87,6 +96,21 @@
         reset();
     }
 
+    /**
+     * Skips the response whose head has just been received if it is a second one to the request before, which this
+     * connection has answered, and returns whether it does. Only a response whose end is known can be skipped, and only
+     * one for each request; the connection is not used again.
+     */
+    public boolean skipLateResponse(@Nullable String requestId) {
+        if (requestId == null || !requestId.equals(answeredRequestId) || closeDelimited || lateResponseSkipped) {
+            return false;
+        }
+        skipping = true;
+        lateResponseSkipped = true;
+        headReceived = false;
+        return true;
+    }
+
     /** Pauses or resumes reading from the upstream. */
     public void setAutoRead(boolean reading) {
         Channel target = channel;
@@ -199,7 +223,7 @@
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             informationalCount++;
-            skippingInformational = true;
+            skipping = true;
             if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
                 fail("too many informational responses");
             }
@@ -225,8 +249,8 @@
             return;
         }
         boolean last = content instanceof LastHttpContent;
-        if (skippingInformational) {
-            skippingInformational = !last;
+        if (skipping) {
+            skipping = !last;
             return;
         }
         UpstreamListener current = listener;
@@ -245,11 +269,12 @@
             return;
         }
         listener = null;
+        answeredRequestId = openRequestId;
         current.onComplete();
         int undecodedBytes = decoder.undecodedByteCount();
         if (undecodedBytes > 0) {
             onUnsolicitedBytes(undecodedBytes);
-        } else if (reusable && !failed) {
+        } else if (reusable && !failed && !lateResponseSkipped) {
             setAutoRead(true);
             returnToPool();
         } else {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -54,6 +54,10 @@
             .name("laburnummoor_upstream_unsolicited_total")
             .help("Reads from upstream connections on which no request was open.")
             .register(registry);
+    private final Counter lateResponses = Counter.builder()
+            .name("laburnummoor_upstream_late_responses_total")
+            .help("Second responses of upstreams to earlier requests, which were skipped.")
+            .register(registry);
     private final Counter storeCalls = Counter.builder()
             .name("laburnummoor_store_calls_total")
             .help("Calls to the platform's key-value service by result.")
@@ -95,6 +99,11 @@
         unsolicitedBytes.inc();
     }
 
+    /** Counts a second response to an earlier request, which was skipped. */
+    public void lateResponse() {
+        lateResponses.inc();
+    }
+
     /** Counts a call to the store. */
     public void storeCall(boolean succeeded) {
         storeCalls.labelValues(succeeded ? "ok" : "failed").inc();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -101,10 +101,10 @@
         }
     }
 
-    void send(UpstreamConnection open, FullHttpRequest request) {
+    void send(UpstreamConnection open, FullHttpRequest request, String requestId) {
         connection = open;
         connectionRequestCount = open.requestCount() + 1;
-        open.send(request, this);
+        open.send(request, requestId, this);
     }
 
     /** Ends the attempt and closes its connection, so that the upstream stops processing the request. */
@@ -216,6 +216,10 @@
         }
         UpstreamResponseHead responseHead = codec.decodeUpstreamResponse(response);
         if (!session.answersThisRequest(responseHead)) {
+            if (connection != null && connection.skipLateResponse(responseHead.attemptId())) {
+                session.onLateResponse(this, responseHead);
+                return;
+            }
             failOnProtocolError("answer of another request: " + abbreviate(responseHead.attemptId()));
             return;
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
@@ -112,7 +112,7 @@
                     opened.returnToPool();
                 } else {
                     connection = opened;
-                    opened.send(context.cachedPrefixCodec().encodeQuery(target.instance()), this);
+                    opened.send(context.cachedPrefixCodec().encodeQuery(target.instance()), null, this);
                 }
             });
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -163,7 +163,10 @@
             onWithdrawn(attempt);
         } else {
             history.record(attempt.number(), AttemptStatus.SENT);
-            attempt.send(connection, launcher.buildRequest(attempt, retries.remainingMillis(), delivery.lastEventId()));
+            attempt.send(
+                    connection,
+                    launcher.buildRequest(attempt, retries.remainingMillis(), delivery.lastEventId()),
+                    request.id());
         }
     }
 
@@ -193,6 +196,11 @@
         return request.id().equals(head.attemptId());
     }
 
+    /** Called when a second response to an earlier request was received and is skipped. */
+    void onLateResponse(Attempt attempt, UpstreamResponseHead head) {
+        trace.lateResponseSkipped(attempt, head);
+    }
+
     void onEvent(Attempt attempt, UpstreamResponseHead head, HttpHeaders headers, EventFramer.Event event) {
         if (!delivery.isContinuedBy(event)) {
             attempt.cancel();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -84,6 +84,18 @@
                 .write();
     }
 
+    void lateResponseSkipped(Attempt attempt, UpstreamResponseHead head) {
+        context.metrics().lateResponse();
+        context.log()
+                .line("late_response_skipped")
+                .text("request", request.id())
+                .text("upstream", attempt.instance().id())
+                .text("response_request", head.attemptId())
+                .number("status", head.status())
+                .number("connection_requests", attempt.connectionRequestCount())
+                .write();
+    }
+
     void notExecuted(Attempt attempt, int status) {
         attemptEnded("not_executed");
         logResponse(attempt, "not_executed", status);
