--- /dev/null
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/process/SecondResponseTest.java
@@ -0,0 +1,184 @@
+package io.laburnummoor.wire.process;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import io.laburnummoor.core.connection.Upstream;
+import io.laburnummoor.wire.request.PlainCallListener;
+import io.laburnummoor.wire.request.PlainRequest;
+import io.laburnummoor.wire.request.PlainResponse;
+import io.laburnummoor.wire.request.PlainServiceClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Guards against a call that gets the status or the body of another response: a second response to the call before, or
+ * its beginning, stays on the kept connection and is read first.
+ */
+final class SecondResponseTest {
+    /** Longer than a client takes to read what the server has written. */
+    private static final long READ_MILLIS = 50;
+
+    private static final long CALL_SECONDS = 5;
+    private static final int TIMEOUT_MILLIS = 2_000;
+    private static final String SECOND = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
+
+    private final JsonHttp json = new JsonHttp(TIMEOUT_MILLIS);
+    private final PlainServiceClient plain = new PlainServiceClient();
+
+    @AfterEach
+    void stop() {
+        plain.stop();
+        json.stop();
+    }
+
+    private String callJson(int port, int number) {
+        try {
+            JsonHttp.Reply reply = json.exchange("GET", URI.create("http://127.0.0.1:" + port + "/" + number), null);
+            return reply.status() + " " + reply.body().asText();
+        } catch (IOException failure) {
+            return "no response";
+        }
+    }
+
+    private String callPlain(int port, int number) throws Exception {
+        CompletableFuture<String> result = new CompletableFuture<>();
+        plain.send(
+                new Upstream("e-1", "desk", "niseko", "127.0.0.1", port, 1, false),
+                new PlainRequest("GET", "/" + number, Map.of(), new byte[0]),
+                true,
+                TIMEOUT_MILLIS,
+                new PlainCallListener() {
+                    @Override
+                    public void onResponse(PlainResponse response) {
+                        result.complete(
+                                response.status() + " " + new String(response.body(), StandardCharsets.US_ASCII));
+                    }
+
+                    @Override
+                    public void onNeverHandedOver(String reason) {
+                        result.complete("no response");
+                    }
+
+                    @Override
+                    public void onLost(String reason) {
+                        result.complete("no response");
+                    }
+                });
+        return result.get(CALL_SECONDS, TimeUnit.SECONDS);
+    }
+
+    static Stream<Arguments> seconds() {
+        return Stream.of("json", "plain").flatMap(client -> Stream.of(false, true)
+                .flatMap(late -> Stream.of(
+                        Arguments.of(client, late, "whole", SECOND),
+                        Arguments.of(client, late, "status", "HTTP/1.1 200 "),
+                        Arguments.of(client, late, "header", "HTTP/1.1 200 OK\r\nDate: "))));
+    }
+
+    @ParameterizedTest(name = "{0}, late: {1}, {2}")
+    @MethodSource("seconds")
+    void theNextCallGetsItsOwnResponse(String client, boolean late, String name, String second) throws Exception {
+        plain.start();
+        try (ScriptedServer server = new ScriptedServer(second, late)) {
+            int port = server.port();
+            String first = client.equals("json") ? callJson(port, 1) : callPlain(port, 1);
+            assertThat(first, is("200 1"));
+            Thread.sleep(2 * READ_MILLIS);
+
+            String next = client.equals("json") ? callJson(port, 2) : callPlain(port, 2);
+
+            assertThat(next, anyOf(is("500 2"), is("500 "), is("no response")));
+        }
+    }
+
+    /** Answers call 1 well, with more bytes behind that, and call 2 with a failure. */
+    private static final class ScriptedServer implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final String second;
+        private final boolean late;
+
+        private ScriptedServer(String second, boolean late) throws IOException {
+            this.second = second;
+            this.late = late;
+            start(this::accept);
+        }
+
+        private static void start(Runnable task) {
+            Thread thread = new Thread(task, "scripted-server");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private int port() {
+            return server.getLocalPort();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    start(() -> serve(socket));
+                }
+            } catch (IOException closed) {
+                // The test has ended.
+            }
+        }
+
+        private void serve(Socket socket) {
+            try (socket) {
+                String head = readHead(socket.getInputStream());
+                while (!head.isEmpty()) {
+                    if (head.startsWith("GET /1 ")) {
+                        write(socket, late ? SECOND : SECOND + second);
+                        Thread.sleep(READ_MILLIS);
+                        write(socket, late ? second : "");
+                    } else {
+                        write(socket, "HTTP/1.1 500 Failed\r\nContent-Length: 1\r\n\r\n2");
+                    }
+                    head = readHead(socket.getInputStream());
+                }
+            } catch (IOException | InterruptedException ended) {
+                // The client closes connections on which it cannot rely.
+            }
+        }
+
+        /** Returns the head of the next request, which has no body; empty at the end. */
+        private static String readHead(InputStream in) throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    return "";
+                }
+                head.append((char) next);
+            }
+            return head.toString();
+        }
+
+        private static void write(Socket socket, String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+}
