Refuse a body that holds a second response to its request

A success whose body holds a status line and, within 8 kB behind it, the id of the request is a loss now.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -306,7 +306,16 @@
         ResponseBuffer body = fullBody;
         fullBody = null;
         if (body != null) {
-            session.onFullResponse(this, responseHead, headers, body.detach());
+            deliver(responseHead, headers, body.detach());
+        }
+    }
+
+    private void deliver(UpstreamResponseHead responseHead, HttpHeaders headers, ByteBuf body) {
+        if (responseHead.isSuccess() && session.isAnsweredTwiceBy(body)) {
+            body.release();
+            failOnProtocolError("body holds a second answer");
+        } else {
+            session.onFullResponse(this, responseHead, headers, body);
         }
     }
 
