--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -17,9 +19,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A connection to an upstream that carries one request at a time. Bytes received while no request is open close it, also
- * if they are no complete message: the next response would continue them.
- * Confined to the event loop of its channel.
+ * A connection to an upstream that carries one request at a time. Bytes received while no request is open close it,
+ * also if they are no complete message: the next response would continue them. Confined to the event loop of its
+ * channel.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     /** A usual upstream sends one at the most; a faulty one may send them without end. */
@@ -37,9 +39,14 @@
     private boolean skipping;
     private boolean lateResponseSkipped;
     private @Nullable String openRequestId;
-    private @Nullable String answeredRequestId;
+    private final RecentRequestIds answeredRequestIds = new RecentRequestIds();
+    private @Nullable ChannelFuture written;
     private boolean reusable;
     private boolean closeDelimited;
+    private boolean lengthDelimited;
+    /** Last bytes of a body with a length, which may break off in the beginning of another response. */
+    private String bodyTail = "";
+
     private boolean failed;
     private long idleSinceMillis;
     private long idleLimitMillis;
@@ -76,14 +83,15 @@
         openRequestId = requestId;
         reusable = false;
         closeDelimited = false;
+        bodyTail = "";
         decoder.expectResponseTo(request.method());
         if (target == null || !target.isActive()) {
             ReferenceCountUtil.release(request);
             fail("connection is closed");
             return;
         }
-        target.writeAndFlush(request).addListener((ChannelFutureListener) written -> {
-            if (!written.isSuccess()) {
+        written = target.writeAndFlush(request).addListener((ChannelFutureListener) done -> {
+            if (!done.isSuccess()) {
                 fail("write failed");
                 target.close();
             }
@@ -97,12 +105,14 @@
     }
 
     /**
-     * Skips the response whose head has just been received if it is a second one to the request before, which this
-     * connection has answered, and returns whether it does. Only a response whose end is known can be skipped, and only
-     * one for each request; the connection is not used again.
+     * Skips the response whose head has just been received if it is a second one to a request that was answered on this
+     * connection before, and returns whether it does. Only a response whose end is known can be skipped, and only one
+     * for each request; the connection is not used again.
+     *
+     * @param requestId id of the response, or null if it has none
      */
     public boolean skipLateResponse(@Nullable String requestId) {
-        if (requestId == null || !requestId.equals(answeredRequestId) || closeDelimited || lateResponseSkipped) {
+        if (!answeredRequestIds.contains(requestId) || closeDelimited || lateResponseSkipped) {
             return false;
         }
         skipping = true;
@@ -145,8 +155,8 @@
     }
 
     /**
-     * Reads what has arrived on the idle connection, since the event loop may not have come to it, and returns whether it
-     * is still open. Must not be called while the channel is being read.
+     * Reads what has arrived on the idle connection, since the event loop may not have come to it, and returns whether
+     * it is still open. Must not be called while the channel is being read.
      */
     boolean isOpenAfterRead() {
         if (channel != null && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
@@ -159,6 +169,11 @@
         return isOpen() && nowMillis - idleSinceMillis < idleLimitMillis;
     }
 
+    /** Returns whether a request with that id was answered on this connection, so that a second response may come. */
+    boolean hasAnswered(@Nullable String requestId) {
+        return requestId != null && answeredRequestIds.contains(requestId);
+    }
+
     void close() {
         Channel target = channel;
         if (target != null) {
@@ -217,7 +232,11 @@
             fail("bytes are no answer");
             return;
         }
-        if (UpstreamResponseDecoder.isJoined(response)) {
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail("switch to another protocol");
+            return;
+        }
+        if (requestCount > 1 && UpstreamResponseDecoder.isJoined(response)) {
             fail("head is joined from two answers");
             return;
         }
@@ -234,8 +253,11 @@
             return;
         }
         headReceived = true;
-        boolean framed = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+        boolean framed = HttpUtil.isTransferEncodingChunked(response)
+                || HttpUtil.isContentLengthSet(response)
+                || decoder.isContentAlwaysEmpty(response);
         closeDelimited = !framed;
+        lengthDelimited = HttpUtil.isContentLengthSet(response);
         reusable = framed && HttpUtil.isKeepAlive(response);
         UpstreamListener current = listener;
         if (current != null) {
@@ -251,11 +273,15 @@
         boolean last = content instanceof LastHttpContent;
         if (skipping) {
             skipping = !last;
+            if (last && UpstreamResponseDecoder.containsStatusLine(((LastHttpContent) content).trailingHeaders())) {
+                fail("trailers are joined with an answer");
+            }
             return;
         }
         UpstreamListener current = listener;
         ByteBuf bytes = content.content();
         if (current != null && bytes.isReadable()) {
+            bodyTail = lengthDelimited ? UpstreamResponseDecoder.tailOf(bytes) : "";
             current.onContent(bytes);
         }
         if (last && !(closeDelimited && failed)) {
@@ -268,13 +294,17 @@
         if (current == null) {
             return;
         }
+        if (decoder.continuesStatusLine(bodyTail)) {
+            fail("body breaks off in another answer");
+            return;
+        }
         listener = null;
-        answeredRequestId = openRequestId;
+        answeredRequestIds.add(openRequestId);
         current.onComplete();
         int undecodedBytes = decoder.undecodedByteCount();
         if (undecodedBytes > 0) {
             onUnsolicitedBytes(undecodedBytes);
-        } else if (reusable && !failed && !lateResponseSkipped) {
+        } else if (reusable && !failed && !lateResponseSkipped && isRequestWritten()) {
             setAutoRead(true);
             returnToPool();
         } else {
@@ -282,6 +312,11 @@
         }
     }
 
+    /** An upstream may answer before it has read the request; the next one must not follow an unwritten body. */
+    private boolean isRequestWritten() {
+        return written != null && written.isDone();
+    }
+
     private void fail(String cause) {
         failed = true;
         UpstreamListener current = listener;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
@@ -57,12 +57,17 @@
         this.unsolicitedBytesListener = unsolicitedBytesListener;
     }
 
-    /** Takes a usable idle connection from the pool, or returns null if there is none. */
-    private @Nullable UpstreamConnection pollIdle(UpstreamInstance instance) {
+    /**
+     * Takes a usable idle connection from the pool, or returns null if there is none. One that has answered a request
+     * with the same id is closed: a second response to that one could not be told from the response to this one.
+     */
+    private @Nullable UpstreamConnection pollIdle(UpstreamInstance instance, @Nullable String requestId) {
         Deque<UpstreamConnection> idle = idleByKey.get(keyOf(instance));
         while (idle != null && !idle.isEmpty()) {
             UpstreamConnection connection = idle.pollFirst();
-            if (connection.isUsable(nowMillis()) && connection.isOpenAfterRead()) {
+            if (connection.isUsable(nowMillis())
+                    && !connection.hasAnswered(requestId)
+                    && connection.isOpenAfterRead()) {
                 return connection;
             }
             connection.close();
@@ -70,9 +75,14 @@
         return null;
     }
 
-    /** Passes an idle or else a new connection to the consumer, or null if the upstream cannot be reached. */
-    public void connect(UpstreamInstance instance, Consumer<@Nullable UpstreamConnection> consumer) {
-        UpstreamConnection idle = pollIdle(instance);
+    /**
+     * Passes an idle or else a new connection to the consumer, or null if the upstream cannot be reached.
+     *
+     * @param requestId id of the request that the connection is for, or null if it has none
+     */
+    public void connect(
+            UpstreamInstance instance, @Nullable String requestId, Consumer<@Nullable UpstreamConnection> consumer) {
+        UpstreamConnection idle = pollIdle(instance, requestId);
         if (idle != null) {
             consumer.accept(idle);
         } else {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamResponseDecoder.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamResponseDecoder.java
@@ -1,9 +1,12 @@
 package io.laburnummoor.gateway.connection;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,6 +25,7 @@
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]{3}");
 
     private static final String STATUS_LINE_START = "HTTP/";
+    private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
 
     private boolean headRequested;
 
@@ -32,6 +36,23 @@
                 .setMaxChunkSize(MAX_CHUNK_BYTES));
     }
 
+    /** Returns the end of a body, in which a status line may begin. */
+    static String tailOf(ByteBuf body) {
+        int length = Math.min(STATUS_LINE_BYTES - 1, body.readableBytes());
+        return body.toString(body.writerIndex() - length, length, StandardCharsets.ISO_8859_1);
+    }
+
+    /** Returns whether a status line begins in the end of a body and continues in the bytes that are not decoded. */
+    boolean continuesStatusLine(String bodyTail) {
+        int length = Math.min(STATUS_LINE_BYTES - 1, actualReadableBytes());
+        if (length == 0) {
+            return false;
+        }
+        ByteBuf undecoded = internalBuffer();
+        return containsStatusLine(
+                bodyTail + undecoded.toString(undecoded.readerIndex(), length, StandardCharsets.ISO_8859_1));
+    }
+
     /** Sets the method of the request whose response comes next; a response to HEAD has no body. */
     void expectResponseTo(HttpMethod method) {
         headRequested = HttpMethod.HEAD.equals(method);
@@ -42,6 +63,7 @@
         return actualReadableBytes();
     }
 
+    /** Returns whether the message has no body whatever its headers say. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return headRequested || super.isContentAlwaysEmpty(message);
@@ -52,10 +74,11 @@
      * the signature of the next one.
      */
     static boolean isJoined(HttpResponse response) {
-        if (containsStatusLine(response.status().reasonPhrase())) {
-            return true;
-        }
-        for (Map.Entry<String, String> header : response.headers()) {
+        return containsStatusLine(response.status().reasonPhrase()) || containsStatusLine(response.headers());
+    }
+
+    static boolean containsStatusLine(HttpHeaders headers) {
+        for (Map.Entry<String, String> header : headers) {
             if (containsStatusLine(header.getValue())) {
                 return true;
             }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -220,7 +220,7 @@
         if (repeatsUpstream) {
             pool.open(attempt.instance(), consumer);
         } else {
-            pool.connect(attempt.instance(), consumer);
+            pool.connect(attempt.instance(), request.id(), consumer);
         }
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
@@ -105,7 +105,7 @@
 
         private void send(Runnable whenAnswered) {
             callback = whenAnswered;
-            pool.connect(target.instance(), opened -> {
+            pool.connect(target.instance(), null, opened -> {
                 if (opened == null) {
                     callback.run();
                 } else if (cancelled) {
@@ -131,11 +131,23 @@
 
         @Override
         public void onHead(HttpResponse response) {
-            readable = response.status().equals(HttpResponseStatus.OK);
             UpstreamResponseHead head = context.headerCodec().decodeUpstreamResponse(response);
+            if (head.attemptId() != null) {
+                skipResponseToARequest(head.attemptId());
+                return;
+            }
+            readable = response.status().equals(HttpResponseStatus.OK);
             UpstreamNotices.record(head, target, context.clock().nowMillis(), context.log());
         }
 
+        /** Skips a second response to a request that the connection has carried before, or gives up. */
+        private void skipResponseToARequest(String requestId) {
+            if (connection == null || !connection.skipLateResponse(requestId)) {
+                cancel();
+                callback.run();
+            }
+        }
+
         @Override
         public void onContent(ByteBuf content) {
             if (!body.append(content)) {
--- a/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/EarlyResponseTest.java
+++ b/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/EarlyResponseTest.java
@@ -55,7 +55,7 @@
 
     private UpstreamConnection connect() throws Exception {
         CompletableFuture<UpstreamConnection> connected = new CompletableFuture<>();
-        loop.execute(() -> pool.connect(engine.instance(), connected::complete));
+        loop.execute(() -> pool.connect(engine.instance(), null, connected::complete));
         return connected.get(AWAIT_SECONDS, TimeUnit.SECONDS);
     }
 
--- a/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/UpstreamPoolTest.java
+++ b/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/UpstreamPoolTest.java
@@ -103,7 +103,7 @@
         Thread.sleep(idleMillis);
 
         skippedMillis.set(1_000);
-        UpstreamConnection next = onLoop(loop, done -> pool.connect(engine.instance(), done::complete));
+        UpstreamConnection next = onLoop(loop, done -> pool.connect(engine.instance(), null, done::complete));
 
         assertThat(next, is(sameInstance(first)));
     }
