Recognize late heartbeats of upstreams that were removed or replaced

Cause: InstanceRegistry.stateOf listed a dropped incarnation again for any entry of it, and an entry of a replaced incarnation took the place of its successor.

An entry of an incarnation that was dropped or replaced now lists it again only with a number above those seen, which each heartbeat of a sound engine has. An entry without one that stays for 20 s is used all the same: the platform removes those of ended engines after three heartbeat intervals. Entries that expire around an outage of the store are handled as before. Changes that a complete read has shown and the watch repeats are skipped, since a repeated removal and entry would look like a late heartbeat.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -72,17 +72,24 @@
      * restart, whose numbers start anew, and a number between the first and the latest one to a late entry.
      */
     public boolean update(UpstreamInstance entry) {
-        long number = entry.heartbeatNumber();
-        boolean lower = number < instance.get().heartbeatNumber();
-        boolean restartPossible = entry.startedAtMillis() == 0 && number <= firstHeartbeatNumber.get();
-        if (lower && !restartPossible) {
+        boolean lower = entry.heartbeatNumber() < instance.get().heartbeatNumber();
+        if (lower && !isRestartPossible(entry)) {
             return false;
         }
-        firstHeartbeatNumber.accumulateAndGet(number, Math::min);
+        firstHeartbeatNumber.accumulateAndGet(entry.heartbeatNumber(), Math::min);
         instance.replace(entry);
         return true;
     }
 
+    /** Returns whether an entry of the same incarnation was written no later than the latest one. */
+    public boolean hasSeen(UpstreamInstance entry) {
+        return entry.heartbeatNumber() <= instance.get().heartbeatNumber() && !isRestartPossible(entry);
+    }
+
+    private boolean isRestartPossible(UpstreamInstance entry) {
+        return entry.startedAtMillis() == 0 && entry.heartbeatNumber() <= firstHeartbeatNumber.get();
+    }
+
     /**
      * Adds a request that is sent to the upstream.
      *
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceRegistry.java
@@ -1,7 +1,6 @@
 package io.laburnummoor.core.process;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -25,20 +24,20 @@
     static final long EXPIRY_WINDOW_MILLIS = 500;
     /** Time after an outage of the store in which live upstreams whose entry expired are listed again. */
     static final long RELISTING_MILLIS = 2_300;
-    /** Limits the memory for upstreams that never return. */
-    private static final int MAX_DROPPED = 1_024;
+    /**
+     * Time after which a listed entry with a number that was seen before belongs to a live upstream, which renews it
+     * without a change. The platform removes others after three heartbeat intervals of a second or so, and heartbeats
+     * are executed up to 6 s late.
+     */
+    static final long PERSISTENCE_MILLIS = 20_000;
 
     private final Listener listener;
     private final AddressAssignment addresses;
     private final Map<String, InstanceState> instances = new HashMap<>();
     private final Map<String, Long> expiredAtMillis = new HashMap<>();
-    /** States of dropped incarnations, oldest first, since an entry that expired can be listed again. */
-    private final Map<String, InstanceState> dropped = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, InstanceState> eldest) {
-            return size() > MAX_DROPPED;
-        }
-    };
+    private final IncarnationHistory history = new IncarnationHistory();
+    /** Entries that are listed but not used, because they were written before others of their incarnations. */
+    private final Map<String, LateEntry> lateEntries = new HashMap<>();
 
     private boolean storeAvailable;
     private boolean everAvailable;
@@ -89,28 +88,49 @@
         return storeAvailable && nowMillis - recoveredAtMillis < RELISTING_MILLIS;
     }
 
-    /** Adds or updates an entry; returns whether the table has changed. */
+    /**
+     * Adds or updates an entry; returns whether the table has changed. The entry of an incarnation that was dropped or
+     * replaced lists it again only if its number is above those seen: any other one is a heartbeat that was executed
+     * late, or belongs to a live upstream if it stays ({@link #listPersistent}).
+     */
     public boolean put(String key, UpstreamInstance entry, long nowMillis) {
-        expiredAtMillis.remove(key);
         InstanceState known = instances.get(key);
         if (known != null && known.instance().isSameIncarnation(entry)) {
-            boolean wasLeaving = known.instance().leaving();
-            update(known, entry);
-            if (!wasLeaving && known.instance().leaving()) {
-                listener.leaving(entry);
-            }
+            expiredAtMillis.remove(key);
+            lateEntries.remove(key);
+            updateListed(known, entry);
             return false;
         }
-        InstanceState listed = stateOf(key, entry);
-        instances.put(key, listed);
-        if (known != null) {
+        if (history.hasSeen(entry)) {
+            lateEntries.putIfAbsent(key, new LateEntry(entry, nowMillis));
+            listener.outdated(entry);
+            return false;
+        }
+        list(key, entry, nowMillis);
+        return true;
+    }
+
+    private void updateListed(InstanceState known, UpstreamInstance entry) {
+        boolean wasLeaving = known.instance().leaving();
+        update(known, entry);
+        if (!wasLeaving && known.instance().leaving()) {
+            listener.leaving(entry);
+        }
+    }
+
+    private void list(String key, UpstreamInstance entry, long nowMillis) {
+        expiredAtMillis.remove(key);
+        lateEntries.remove(key);
+        InstanceState listed = stateOf(entry);
+        InstanceState replaced = instances.put(key, listed);
+        if (replaced != null) {
             // Requests that were about to be sent to its predecessor are withdrawn.
-            known.markEnded(nowMillis);
-            addresses.remove(known);
+            replaced.markEnded(nowMillis);
+            addresses.remove(replaced);
+            history.add(replaced);
         }
         addresses.add(listed);
         listener.listed(entry);
-        return true;
     }
 
     /**
@@ -125,9 +145,9 @@
     }
 
     /** Returns the earlier state of an incarnation that is listed again, so that what it announced still holds. */
-    private InstanceState stateOf(String key, UpstreamInstance entry) {
-        InstanceState previous = dropped.remove(key);
-        if (previous == null || !previous.instance().isSameIncarnation(entry)) {
+    private InstanceState stateOf(UpstreamInstance entry) {
+        InstanceState previous = history.take(entry);
+        if (previous == null) {
             return new InstanceState(entry);
         }
         update(previous, entry);
@@ -136,6 +156,7 @@
 
     /** Handles the removal of an entry; returns whether the table has changed. */
     public boolean remove(String key, long nowMillis) {
+        lateEntries.remove(key);
         InstanceState known = instances.get(key);
         if (known == null) {
             return false;
@@ -151,6 +172,7 @@
 
     /** Handles the removal of all entries that are missing from a complete read of the list. */
     public void retain(Set<String> keys, long nowMillis) {
+        lateEntries.keySet().retainAll(keys);
         List.copyOf(instances.keySet()).stream()
                 .filter(key -> !keys.contains(key))
                 .forEach(key -> remove(key, nowMillis));
@@ -179,12 +201,31 @@
         return dropped;
     }
 
+    /**
+     * Lists the upstreams whose entry has stayed for {@link #PERSISTENCE_MILLIS} of a store that was available, though
+     * its number had been seen before; returns whether there were any.
+     */
+    public boolean listPersistent(long nowMillis) {
+        if (!storeAvailable || lateEntries.isEmpty()) {
+            return false;
+        }
+        boolean listed = false;
+        for (Map.Entry<String, LateEntry> late : Map.copyOf(lateEntries).entrySet()) {
+            long sinceMillis = Math.max(late.getValue().listedAtMillis, lastUnavailableAtMillis);
+            if (nowMillis - sinceMillis >= PERSISTENCE_MILLIS) {
+                list(late.getKey(), late.getValue().entry, nowMillis);
+                listed = true;
+            }
+        }
+        return listed;
+    }
+
     private void drop(String key, InstanceState known, String reason, long nowMillis) {
         instances.remove(key);
         expiredAtMillis.remove(key);
         known.markEnded(nowMillis);
         addresses.remove(known);
-        dropped.put(key, known);
+        history.add(known);
         listener.dropped(known.instance(), reason);
     }
 
@@ -210,4 +251,6 @@
         /** Called when an incarnation is no longer in use; the reason is the one that is logged. */
         void dropped(UpstreamInstance instance, String reason);
     }
+
+    private record LateEntry(UpstreamInstance entry, long listedAtMillis) {}
 }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceRegistryTest.java
@@ -92,7 +92,85 @@
 
         registry.put("a", entry(1, startedAtMillis, false, lateNumber), now + 1_000);
 
-        assertThat(registry.table().all().get(0).isInService(now + 1_000), is(used));
+        assertThat(registry.table().all().stream().anyMatch(each -> each.isInService(now + 1_000)), is(used));
+    }
+
+    /**
+     * Guards against requests for an upstream that was removed without an announcement, because the store executes an
+     * earlier heartbeat of it seconds later. A sound upstream that is listed again has a higher number.
+     */
+    @ParameterizedTest(name = "start time {0}, removed after heartbeat 15, listed again with heartbeat {1}")
+    @CsvSource({
+        "7, 12, false",
+        "7, 15, false",
+        "7, 16, true",
+        "0, 12, false",
+        "0, 15, false",
+        "0, 16, true",
+        "0, 1, true",
+    })
+    void aLateHeartbeatDoesNotListARemovedUpstream(long startedAtMillis, long lateNumber, boolean used) {
+        registry.recordStoreAvailable(now);
+        registry.put("a", entry(1, startedAtMillis, false, 2), now);
+        registry.put("a", entry(1, startedAtMillis, false, 15), now);
+        registry.remove("a", now);
+
+        registry.put("a", entry(1, startedAtMillis, false, lateNumber), now + 1_000);
+
+        assertThat(registry.table().all().stream().anyMatch(this::isInService), is(used));
+    }
+
+    /**
+     * Guards against a sound upstream that gets no requests until its next heartbeat, because the store executes an
+     * earlier heartbeat of its predecessor under the same id. Start times do not decide, since clocks are set back.
+     */
+    @ParameterizedTest(
+            name = "started at 200, successor at {0}; heartbeat {1} after 15 of the predecessor: {2} is used")
+    @CsvSource({"300, 12, 300", "300, 15, 300", "100, 15, 100", "100, 16, 200"})
+    void aLateHeartbeatDoesNotReplaceASuccessor(long successorStartedAtMillis, long lateNumber, long usedStart) {
+        registry.recordStoreAvailable(now);
+        registry.put("a", entry(1, 200, false, 15), now);
+        registry.put("a", entry(1, successorStartedAtMillis, false, 1), now + 500);
+
+        now += 1_000;
+        registry.put("a", entry(1, 200, false, lateNumber), now);
+
+        assertThat(
+                registry.table().all().stream()
+                        .filter(this::isInService)
+                        .map(each -> each.instance().startedAtMillis())
+                        .toList(),
+                is(List.of(usedStart)));
+    }
+
+    /**
+     * Guards against the loss of a sound upstream whose listed entry has no new number. Its entry stays, whereas the
+     * one of an upstream that has ended is removed; while the store is unavailable, neither shows.
+     */
+    @ParameterizedTest(name = "listed for {0} ms, removed: {1}, the store fails: {2}")
+    @CsvSource({
+        "19999, false, false, false",
+        "20000, false, false, true",
+        "20000, true, false, false",
+        "20000, false, true, false",
+    })
+    void anUpstreamWhoseEntryStaysIsUsed(long listedMillis, boolean removed, boolean storeFails, boolean used) {
+        registry.recordStoreAvailable(now);
+        registry.put("a", entry(1, 7, false, 15), now);
+        registry.remove("a", now);
+        registry.put("a", entry(1, 7, false, 15), now);
+
+        now += listedMillis;
+        if (removed) {
+            registry.remove("a", now - 1);
+        }
+        if (storeFails) {
+            registry.recordStoreUnavailable(now - 1);
+            registry.recordStoreAvailable(now);
+        }
+        registry.listPersistent(now);
+
+        assertThat(registry.table().all().stream().anyMatch(this::isInService), is(used));
     }
 
     /** Guards against a complete read that makes a draining upstream ready: the store holds the late heartbeat. */
@@ -168,7 +246,7 @@
         registry.table().all().get(0).recordLeaving();
 
         registry.remove("a", now);
-        registry.put("a", entry(1, startedAtMillis, false), now + 1_000);
+        registry.put("a", entry(1, startedAtMillis, false, 2), now + 1_000);
 
         assertThat(registry.table().all().get(0).isInService(now + 1_000), is(used));
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -47,6 +47,8 @@
     private final String routerName;
     private final RolloutFollower rolloutFollower;
     private final PromptPartRecorder promptPartRecorder;
+    /** Versions of the entries in the latest complete read of the list, by key. */
+    private Map<String, Long> readVersions = Map.of();
     /** Latest batch that was applied; its version is the one that is known of the store. */
     private ChangeFeed.Batch last = NOTHING_READ;
 
@@ -91,7 +93,7 @@
 
     private void run() {
         Runnable guardedPoll = new GuardedTask(this::pollOnce, this::onFault);
-        Runnable guardedExpiry = new GuardedTask(this::dropExpired, this::onFault);
+        Runnable guardedExpiry = new GuardedTask(this::applyDeadlines, this::onFault);
         while (!stopping) {
             pauseMillis = StorePollSchedule.RETRY_MILLIS;
             guardedPoll.run();
@@ -109,8 +111,9 @@
         }
     }
 
-    private void dropExpired() {
-        if (registry.dropExpired(clock.nowMillis())) {
+    private void applyDeadlines() {
+        boolean dropped = registry.dropExpired(clock.nowMillis());
+        if (registry.listPersistent(clock.nowMillis()) || dropped) {
             publish();
         }
     }
@@ -154,6 +157,7 @@
 
     private void forgetVersion() {
         last = NOTHING_READ;
+        readVersions = Map.of();
         state.recentChanges().clear();
     }
 
@@ -176,6 +180,8 @@
         registry.retain(
                 listed.changes().stream().map(ChangeFeed.Change::key).collect(Collectors.toSet()), clock.nowMillis());
         publish();
+        readVersions = listed.changes().stream()
+                .collect(Collectors.toMap(ChangeFeed.Change::key, ChangeFeed.Change::version, Math::max));
         last = new ChangeFeed.Batch(List.of(), Math.min(config.version(), listed.version()));
         state.recentChanges().restart(last.version());
     }
@@ -272,6 +278,10 @@
     }
 
     private boolean applyInstance(ChangeFeed.Change change) {
+        // The changes after a complete read repeat some that it has shown; a repeated entry is no late heartbeat.
+        if (change.version() <= readVersions.getOrDefault(change.key(), UNKNOWN_VERSION)) {
+            return false;
+        }
         String value = change.value();
         UpstreamInstance read = value == null ? null : documents.readInstance(change.key(), value);
         if (read != null) {
@@ -300,6 +310,7 @@
                     .text("upstream", instance.id())
                     .text("service", instance.service())
                     .text("failure_domain", instance.failureDomain())
+                    .number("heartbeat", instance.heartbeatNumber())
                     .flag("leaving", instance.leaving())
                     .write();
         }
