End a resumed stream for a caller that has all of its events

Cause: each engine answers such a request without events. Only a response that the same session had begun was taken as complete then; any other one counted as a loss and as a failure of the engine.

Two engines that answer 200 without events now confirm the end also for a stream that the caller resumes; the caller gets the second one's head, with its signature, and no event. An engine that has nothing to add is not ejected. One such answer alone, a 204, and a stream without Last-Event-Id are handled as before.

ResumedStreamTest: the 2 rows of aCallerThatHasAllEventsGetsTheEnd with the status 200 failed before (502); 17 of 17 pass.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -299,7 +299,7 @@
             if (framer.hasPartialEvent()) {
                 failOnProtocolError("stream ended inside an event");
             } else {
-                session.onStreamEnd(this, responseHead);
+                session.onStreamEnd(this, responseHead, headers);
             }
             return;
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -211,7 +211,7 @@
         crashReporter.onProgress(attempt);
     }
 
-    void onStreamEnd(Attempt attempt, UpstreamResponseHead head) {
+    void onStreamEnd(Attempt attempt, UpstreamResponseHead head, HttpHeaders headers) {
         if (!attempt.hasEvents() && !delivery.confirmsEnd(attempt, head)) {
             onLost(attempt, "stream without events");
             return;
@@ -221,7 +221,7 @@
         attempt.target().recordSuccess();
         crashReporter.onBegun();
         trace.answered(attempt);
-        delivery.end();
+        delivery.end(head, headers);
         finish("answered", HttpResponseStatus.OK.code());
     }
 
@@ -334,7 +334,9 @@
 
     void recordLoss(Attempt attempt, String cause) {
         launcher.exclude(attempt);
-        launcher.recordLoss(attempt);
+        if (!delivery.hasNoMore(attempt)) {
+            launcher.recordLoss(attempt);
+        }
         trace.attemptLost(attempt, cause, history.status(attempt.number()), launcher.isDomainSuspect(attempt));
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamDelivery.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamDelivery.java
@@ -76,17 +76,24 @@
     }
 
     /**
-     * Returns whether a resumption that added no event proves that the stream was complete. Nothing in a response says
-     * which event is the last one, so two upstreams have to agree; a response without a body says nothing.
+     * Returns whether a resumption that added no event proves that the stream was complete, also one that the caller
+     * asked for. Nothing in a response says which event is the last one, so two upstreams have to agree; a response
+     * without a body says nothing.
      */
     boolean confirmsEnd(Attempt attempt, UpstreamResponseHead head) {
-        if (!position.isStarted() || head.status() != HttpResponseStatus.OK.code()) {
+        boolean resumes = position.isStarted() || position.lastEventId() > 0;
+        if (!resumes || head.status() != HttpResponseStatus.OK.code()) {
             return false;
         }
         upstreamsWithoutMore.add(attempt.instance().id());
         return upstreamsWithoutMore.size() >= UPSTREAMS_CONFIRMING_END;
     }
 
+    /** Returns whether the attempt's upstream said that the stream was complete, which is no failure of it. */
+    boolean hasNoMore(Attempt attempt) {
+        return upstreamsWithoutMore.contains(attempt.instance().id());
+    }
+
     /** Passes an event to the caller, and starts the response with the first one. */
     void deliver(Attempt attempt, UpstreamResponseHead head, HttpHeaders headers, EventFramer.Event event) {
         long now = context.clock().nowMillis();
@@ -107,9 +114,7 @@
     }
 
     private void begin(Attempt attempt, UpstreamResponseHead head, HttpHeaders headers, long now) {
-        position.start();
-        exchange.beginStream(head.status(), context.headerCodec().encodeCallerResponse(headers));
-        trace.responseStarted();
+        startResponse(head, headers);
         launcher.loadChanged();
         launcher.recordOutcome(attempt, launcher.isSlow(attempt, now));
         if (attempt.target().inFlightCount() == 1 && history.attemptCount() == 1) {
@@ -117,8 +122,17 @@
         }
     }
 
-    /** Ends the response after its last event. */
-    void end() {
+    private void startResponse(UpstreamResponseHead head, HttpHeaders headers) {
+        position.start();
+        exchange.beginStream(head.status(), context.headerCodec().encodeCallerResponse(headers));
+        trace.responseStarted();
+    }
+
+    /** Ends the response after its last event; it has none if the caller had all of them. */
+    void end(UpstreamResponseHead head, HttpHeaders headers) {
+        if (!position.isStarted()) {
+            startResponse(head, headers);
+        }
         if (request.callerHead().lastEventId() == 0) {
             context.state().streamDuration().record(context.clock().nowMillis() - request.arrivedAtMillis());
         }
