Apply a new limit for heads to kept connections of callers

Cause: StrictRequestDecoder takes the limit when the connection opens, and Netty's decoder cannot change it. The decoder is replaced now when bytes arrive between two requests and the limit has changed. A head of which a part has been read keeps its decoder. A conflict of length and transfer encoding is noted in the request instead of the decoder, since the request may be handled after a replacement.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerChannelInitializer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerChannelInitializer.java
@@ -36,11 +36,11 @@
                 channel.eventLoop(), loop -> new UpstreamPool(loop, gateway.clock(), this::recordUnsolicitedBytes));
         StrictRequestDecoder decoder =
                 new StrictRequestDecoder(gateway.state().limits().headerBytes());
-        CallerConnection connection = new CallerConnection(gateway, pool, decoder);
+        CallerConnection connection = new CallerConnection(gateway, pool);
         connections.put(channel, connection);
         channel.closeFuture().addListener(closed -> connections.remove(channel));
         channel.pipeline()
-                .addLast(new ReadObserver(connection))
+                .addLast(new ReadObserver(connection, decoder))
                 .addLast(decoder)
                 .addLast(new HttpResponseEncoder())
                 .addLast(connection);
@@ -56,17 +56,28 @@
                 .write();
     }
 
-    /** Reports received bytes to the connection, since the decoder may buffer them until the head is complete. */
-    private static final class ReadObserver extends ChannelInboundHandlerAdapter {
+    /**
+     * Reports received bytes to the connection, since the decoder may buffer them until the head is complete. Replaces
+     * the decoder between two requests if the limit for heads has changed, since a decoder keeps the one it has.
+     */
+    private final class ReadObserver extends ChannelInboundHandlerAdapter {
         private final CallerConnection connection;
+        private StrictRequestDecoder decoder;
 
-        private ReadObserver(CallerConnection connection) {
+        private ReadObserver(CallerConnection connection, StrictRequestDecoder decoder) {
             this.connection = connection;
+            this.decoder = decoder;
         }
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             connection.onBytesReceived();
+            int maxHeaderBytes = gateway.state().limits().headerBytes();
+            if (maxHeaderBytes != decoder.maxHeaderBytes() && decoder.isBetweenRequests()) {
+                StrictRequestDecoder replacement = new StrictRequestDecoder(maxHeaderBytes);
+                context.pipeline().replace(decoder, null, replacement);
+                decoder = replacement;
+            }
             context.fireChannelRead(message);
         }
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -46,7 +46,6 @@
 
     private final GatewayContext gateway;
     private final UpstreamPool pool;
-    private final StrictRequestDecoder decoder;
     private final WriteProgress writeProgress = new WriteProgress();
     private final Deque<Object> pipelined = new ArrayDeque<>();
     private @Nullable ScheduledFuture<?> timeoutTimer;
@@ -60,10 +59,9 @@
     private boolean bytesReceived;
     private boolean closing;
 
-    CallerConnection(GatewayContext gateway, UpstreamPool pool, StrictRequestDecoder decoder) {
+    CallerConnection(GatewayContext gateway, UpstreamPool pool) {
         this.gateway = gateway;
         this.pool = pool;
-        this.decoder = decoder;
     }
 
     /** Records that bytes have arrived, before the decoder processes them; the first ones start the header timeout. */
@@ -198,7 +196,7 @@
                     tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        if (decoder.hasAmbiguousLength(request)) {
+        if (StrictRequestDecoder.hasAmbiguousLength(request)) {
             refuseUnreadable(context, HttpResponseStatus.BAD_REQUEST);
             return;
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/StrictRequestDecoder.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/StrictRequestDecoder.java
@@ -2,6 +2,10 @@
 
 import java.util.List;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -9,13 +13,15 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes callers' requests and detects heads whose body length two HTTP implementations could interpret differently,
  * which would allow request smuggling.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
-    private boolean conflictingLengths;
+    private final int maxHeaderBytes;
+    private boolean betweenRequests = true;
 
     StrictRequestDecoder(int maxHeaderBytes) {
         super(new HttpDecoderConfig()
@@ -23,16 +29,38 @@
                 .setMaxHeaderSize(maxHeaderBytes)
                 .setAllowDuplicateContentLengths(false)
                 .setValidateHeaders(true));
+        this.maxHeaderBytes = maxHeaderBytes;
+    }
+
+    int maxHeaderBytes() {
+        return maxHeaderBytes;
+    }
+
+    /** Returns whether no part of a request has been received after the last complete one. */
+    boolean isBetweenRequests() {
+        return betweenRequests && actualReadableBytes() == 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        int sizeBefore = out.size();
+        int indexBefore = in.readerIndex();
+        super.decode(context, in, out);
+        if (out.size() > sizeBefore) {
+            betweenRequests = out.get(out.size() - 1) instanceof LastHttpContent;
+        } else if (in.readerIndex() != indexBefore) {
+            betweenRequests = false;
+        }
     }
 
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        conflictingLengths = true;
+        message.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("length and transfer encoding")));
         super.handleTransferEncodingChunkedWithContentLength(message);
     }
 
-    /** Returns whether the length of the request's body is ambiguous. */
-    boolean hasAmbiguousLength(HttpRequest request) {
+    /** Returns whether the length of the body of a request that was decoded is ambiguous. */
+    static boolean hasAmbiguousLength(HttpRequest request) {
         List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         boolean onlyChunked = encodings.size() == 1
                 && HttpHeaderValues.CHUNKED
@@ -40,6 +68,6 @@
                         .equalsIgnoreCase(encodings.get(0).trim());
         boolean unknownEncoding = !encodings.isEmpty() && !onlyChunked;
         boolean oldVersion = !encodings.isEmpty() && !HttpVersion.HTTP_1_1.equals(request.protocolVersion());
-        return conflictingLengths || unknownEncoding || oldVersion;
+        return unknownEncoding || oldVersion;
     }
 }
