Forward the bytes of a request's target unchanged

Cause: the decoder reads each byte as one character, and Netty's encoder writes those characters as UTF-8, two bytes each.

Idle connections to an upstream whose entry has gone stay as they are, for 30 s at most: an engine that was cut off for a moment is listed again, and closing them would need another path from the list to the pools of all event loops.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
@@ -20,7 +20,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -97,7 +96,7 @@
                         channel.pipeline()
                                 .addLast(new UnsolicitedBytesHandler(connection))
                                 .addLast(decoder)
-                                .addLast(new HttpRequestEncoder())
+                                .addLast(new TargetPreservingEncoder())
                                 .addLast(connection);
                     }
                 })
