--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -55,6 +55,7 @@
     private final long startedAtMillis;
     private final BufferBudget bufferBudget;
     private final EventFramer framer;
+    private String requestId = "";
     private @Nullable UpstreamConnection connection;
     private @Nullable UpstreamResponseHead head;
     private @Nullable HttpHeaders responseHeaders;
@@ -103,6 +104,7 @@
 
     void send(UpstreamConnection open, FullHttpRequest request, String requestId) {
         connection = open;
+        this.requestId = requestId;
         connectionRequestCount = open.requestCount() + 1;
         open.send(request, requestId, this);
     }
@@ -311,7 +313,7 @@
     }
 
     private void deliver(UpstreamResponseHead responseHead, HttpHeaders headers, ByteBuf body) {
-        if (responseHead.isSuccess() && session.isAnsweredTwiceBy(body)) {
+        if (responseHead.isSuccess() && SecondResponseDetector.isIn(body, requestId)) {
             body.release();
             failOnProtocolError("body holds a second answer");
         } else {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -196,11 +196,6 @@
         return request.id().equals(head.attemptId());
     }
 
-    /** Returns whether a body holds a second response to this request. */
-    boolean isAnsweredTwiceBy(ByteBuf body) {
-        return SecondResponseDetector.isIn(body, request.id());
-    }
-
     /** Called when a second response to an earlier request was received and is skipped. */
     void onLateResponse(Attempt attempt, UpstreamResponseHead head) {
         trace.lateResponseSkipped(attempt, head);
