Replace the HTTP client that an error in one call has closed

The HTTP client closes its connection manager when a call ends by an Error, for example an OutOfMemoryError. Each later call then fails with 'Connection pool shut down': a gateway never reached the store again, and its follower logged store_follower_fault twice a second without end. The client is created anew with the next call; not at once, since memory may lack then.

--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -34,7 +34,10 @@
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
-/** Blocking HTTP calls with JSON bodies, used towards the platform and the upstream's health page. */
+/**
+ * Blocking HTTP calls with JSON bodies, used towards the platform and the upstream's health page. The client closes all
+ * its connections for good after an {@link Error} in one call, so it is replaced then.
+ */
 public final class JsonHttp implements Service {
     private static final Logger LOGGER = Logger.getLogger(JsonHttp.class);
     private static final int MAX_CONNECTIONS = 64;
@@ -42,15 +45,21 @@
     private static final int MAX_BODY_BYTES = 12 << 20;
 
     private final ObjectMapper mapper = new ObjectMapper();
-    private final CloseableHttpClient client;
+    private final int timeoutMillis;
+    private final AtomicReference<@Nullable CloseableHttpClient> client = new AtomicReference<>();
 
     /** Creates a client whose connects and reads fail after the given timeout. */
     public JsonHttp(int timeoutMillis) {
+        this.timeoutMillis = timeoutMillis;
+        this.client.set(newClient());
+    }
+
+    private CloseableHttpClient newClient() {
         ConnectionConfig connectionConfig = ConnectionConfig.custom()
                 .setConnectTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .setSocketTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .build();
-        this.client = HttpClients.custom()
+        return HttpClients.custom()
                 .setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
                         .setDefaultConnectionConfig(connectionConfig)
                         .setTlsSocketStrategy(new LazyTls())
@@ -68,6 +77,21 @@
                 .build();
     }
 
+    /** Runs a call, or replaces the client later, since memory may lack for another one now. */
+    private <T> T call(ClientCall<T> call) throws IOException {
+        CloseableHttpClient current = client.get();
+        if (current == null) {
+            client.compareAndSet(null, newClient());
+            return call(call);
+        }
+        try {
+            return call.run(current);
+        } catch (Error fault) {
+            client.compareAndSet(current, null);
+            throw fault;
+        }
+    }
+
     /** Returns the JSON document at an address. */
     public JsonNode get(URI address) throws IOException {
         return execute(new HttpGet(address));
@@ -96,7 +120,7 @@
                 .setResponseTimeout(silenceMillis, TimeUnit.MILLISECONDS)
                 .build());
         boolean anyRead = false;
-        ClassicHttpResponse response = client.executeOpen(null, request, null);
+        ClassicHttpResponse response = call(open -> open.executeOpen(null, request, null));
         try {
             if (response.getCode() != HttpStatus.SC_OK) {
                 throw new IOException("status " + response.getCode() + " from " + request.getRequestUri());
@@ -136,7 +160,10 @@
 
     @Override
     public void stop() {
-        client.close(CloseMode.GRACEFUL);
+        CloseableHttpClient current = client.get();
+        if (current != null) {
+            current.close(CloseMode.GRACEFUL);
+        }
     }
 
     /**
@@ -149,17 +176,18 @@
         if (body != null) {
             request.setEntity(new StringEntity(body.toString(), ContentType.APPLICATION_JSON));
         }
-        return client.execute(request, response -> new Reply(response.getCode(), readBounded(request, response)));
+        return call(open ->
+                open.execute(request, response -> new Reply(response.getCode(), readBounded(request, response))));
     }
 
     private JsonNode execute(HttpUriRequestBase request) throws IOException {
-        return client.execute(request, response -> {
+        return call(open -> open.execute(request, response -> {
             JsonNode document = readBounded(request, response);
             if (response.getCode() != HttpStatus.SC_OK) {
                 throw new IOException("status " + response.getCode() + " from " + request.getRequestUri());
             }
             return document;
-        });
+        }));
     }
 
     /**
@@ -182,6 +210,11 @@
         return response.getCode() == HttpStatus.SC_OK ? mapper.readTree(bytes) : MissingNode.getInstance();
     }
 
+    /** A call on the client that is open now. */
+    private interface ClientCall<T> {
+        T run(CloseableHttpClient open) throws IOException;
+    }
+
     /** Reads the trusted certificates at the first TLS connection only: they cost a tenth of a second of a start. */
     private static final class LazyTls implements TlsSocketStrategy {
         private final AtomicReference<@Nullable TlsSocketStrategy> strategy = new AtomicReference<>();
