Supervise the long-lived threads of the gateway

A thread or event loop that ended by an error, or a log thread that was interrupted, left a gateway that went on without it: nothing was logged, and readiness did not tell. A Supervisor in core now watches them. SupervisedThread runs its task again after a failure (log, store, and the periodic tasks registration, settings, quarantine and rollouts); the store's follower starts with a complete read. The end of an event loop, a failed start, or more than 20 failures in 10 s end the process with status 70 after the log line process_ending, so that the platform starts it again; the connections of a loop are bound to it, so Netty cannot start it anew. A planned stop ends with status 0 as before.

The main thread does nothing but wait for such a failure, so that the end of the process needs no new thread.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/DecisionLog.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/DecisionLog.java
@@ -11,6 +11,8 @@
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.GuardedTask;
+import io.laburnummoor.core.process.SupervisedThread;
+import io.laburnummoor.core.process.Supervisor;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,19 +33,17 @@
     private final AtomicLong droppedCount = new AtomicLong();
     private final String processName;
     private final PrintStream output;
-    private final Thread writer;
+    private final SupervisedThread writer;
     /** Lines that the writer thread writes next. */
     private final List<String> batch = new ArrayList<>();
 
     private long reportedDrops;
-    private volatile boolean stopping;
 
-    /** Creates a log whose lines contain the name of the process. */
-    public DecisionLog(String processName, PrintStream output) {
+    /** Creates a log whose lines contain the name of the process, with a writer thread that is supervised. */
+    public DecisionLog(String processName, PrintStream output, Supervisor supervisor) {
         this.processName = processName;
         this.output = output;
-        this.writer = new Thread(this::writeLines, "log");
-        this.writer.setDaemon(true);
+        this.writer = new SupervisedThread("log", supervisor, this::writeLines);
     }
 
     /** Starts a line for an event. */
@@ -63,23 +63,22 @@
 
     @Override
     public void stop() {
-        stopping = true;
-        writer.interrupt();
-        try {
-            writer.join(4 * BATCH_MILLIS);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
+        writer.stop();
+        if (writer.join(4 * BATCH_MILLIS)) {
+            // The thread may have been stopped while it was to be started again.
+            new GuardedTask(this::writeBatch, this::dropBatch).run();
         }
     }
 
     private void writeLines() {
         Runnable guardedWrite = new GuardedTask(this::writeBatch, this::dropBatch);
-        while (!stopping) {
+        boolean interrupted = false;
+        while (!interrupted) {
             try {
                 batch.add(queue.take());
                 Thread.sleep(BATCH_MILLIS);
-            } catch (InterruptedException interrupted) {
-                stopping = true;
+            } catch (InterruptedException ending) {
+                interrupted = true;
             }
             guardedWrite.run();
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -11,6 +11,7 @@
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.ChangeFeed;
 import io.laburnummoor.core.process.StopSchedule;
+import io.laburnummoor.core.process.Supervisor;
 import io.laburnummoor.gateway.connection.CallerChannelInitializer;
 import io.laburnummoor.gateway.version.RelayedChanges;
 import io.netty.bootstrap.ServerBootstrap;
@@ -37,6 +38,7 @@
 
     private final GatewayContext context;
     private final Readiness readiness;
+    private final Supervisor supervisor;
     private final EventLoopGroup eventLoops;
     private final ServerSocketChannel callerSocket;
     private final EventLoopMonitor eventLoopMonitor;
@@ -49,9 +51,14 @@
      * @param callerSocket socket returned by {@link #bindCallerSocket}
      */
     public GatewayServer(
-            GatewayContext context, Readiness readiness, EventLoopGroup eventLoops, ServerSocketChannel callerSocket) {
+            GatewayContext context,
+            Readiness readiness,
+            Supervisor supervisor,
+            EventLoopGroup eventLoops,
+            ServerSocketChannel callerSocket) {
         this.context = context;
         this.readiness = readiness;
+        this.supervisor = supervisor;
         this.eventLoops = eventLoops;
         this.callerSocket = callerSocket;
         this.eventLoopMonitor = new EventLoopMonitor(eventLoops, context);
@@ -72,9 +79,14 @@
         }
     }
 
-    /** Creates the event loops of the process. */
-    public static EventLoopGroup newEventLoopGroup() {
-        return new NioEventLoopGroup(EVENT_LOOP_COUNT, new DefaultThreadFactory("loop", true));
+    /** Creates the event loops of the process. Their connections cannot outlive them, so their end ends the process. */
+    public static EventLoopGroup newEventLoopGroup(Supervisor supervisor) {
+        return new NioEventLoopGroup(EVENT_LOOP_COUNT, new DefaultThreadFactory("loop", true) {
+            @Override
+            protected Thread newThread(Runnable loop, String name) {
+                return super.newThread(supervisor.required(name, loop), name);
+            }
+        });
     }
 
     @Override
@@ -133,6 +145,7 @@
      */
     @Override
     public void stop() {
+        supervisor.beginStop();
         long start = context.clock().nowMillis();
         context.state().beginDraining(start);
         StopSchedule schedule = StopSchedule.of(start, context.settings().stopMillis());
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/QuarantineLoop.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/QuarantineLoop.java
@@ -3,6 +3,7 @@
 import io.laburnummoor.core.LaburnummoorException;
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.PromptPartRecorder;
+import io.laburnummoor.core.process.Supervisor;
 import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.wire.process.PeriodicTask;
 
@@ -12,11 +13,12 @@
 
     private final PromptPartRecorder recorder;
     private final DecisionLog log;
-    private final PeriodicTask task = new PeriodicTask("quarantine", TICK_MILLIS, this::tick);
+    private final PeriodicTask task;
 
-    public QuarantineLoop(PromptPartRecorder recorder, DecisionLog log) {
+    public QuarantineLoop(PromptPartRecorder recorder, DecisionLog log, Supervisor supervisor) {
         this.recorder = recorder;
         this.log = log;
+        this.task = new PeriodicTask("quarantine", TICK_MILLIS, supervisor, this::tick);
     }
 
     @Override
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RolloutLoop.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RolloutLoop.java
@@ -6,6 +6,7 @@
 import io.laburnummoor.core.process.KeyValueStore;
 import io.laburnummoor.core.process.OrderedRolloutController;
 import io.laburnummoor.core.process.OrderedRollouts;
+import io.laburnummoor.core.process.Supervisor;
 import io.laburnummoor.core.version.OrderedPlan;
 import io.laburnummoor.core.version.RolloutStep;
 import io.laburnummoor.gateway.process.DecisionLog;
@@ -22,7 +23,7 @@
     private final GatewayState state;
     private final DecisionLog log;
     private final Clock clock;
-    private final PeriodicTask task = new PeriodicTask("rollouts", TICK_MILLIS, this::tick);
+    private final PeriodicTask task;
 
     public RolloutLoop(
             KeyValueStore store,
@@ -31,6 +32,7 @@
             GatewaySettings settings,
             GatewayState state,
             DecisionLog log,
+            Supervisor supervisor,
             Clock clock) {
         this.rollouts = rollouts;
         this.controller = new OrderedRolloutController(
@@ -38,6 +40,7 @@
         this.state = state;
         this.log = log;
         this.clock = clock;
+        this.task = new PeriodicTask("rollouts", TICK_MILLIS, supervisor, this::tick);
     }
 
     @Override
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RouterRegistration.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RouterRegistration.java
@@ -4,6 +4,7 @@
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.KeyValueStore;
 import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
+import io.laburnummoor.core.process.Supervisor;
 import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewaySettings;
 import io.laburnummoor.wire.process.PeriodicTask;
@@ -21,15 +22,16 @@
     private final String key;
     private final String address;
     private final DecisionLog log;
-    private final PeriodicTask renewal = new PeriodicTask("registration", RENEWAL_MILLIS, this::renew);
+    private final PeriodicTask renewal;
     private long leaseId = KeyValueStore.NO_LEASE;
     private boolean registered;
 
-    public RouterRegistration(KeyValueStore store, GatewaySettings settings, DecisionLog log) {
+    public RouterRegistration(KeyValueStore store, GatewaySettings settings, DecisionLog log, Supervisor supervisor) {
         this.store = store;
         this.key = KEY_PREFIX + settings.name();
         this.address = settings.host() + ":" + settings.exchangePort();
         this.log = log;
+        this.renewal = new PeriodicTask("registration", RENEWAL_MILLIS, supervisor, this::renew);
     }
 
     @Override
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -18,6 +18,8 @@
 import io.laburnummoor.core.process.InstanceRegistry;
 import io.laburnummoor.core.process.PromptPartRecorder;
 import io.laburnummoor.core.process.StorePollSchedule;
+import io.laburnummoor.core.process.SupervisedThread;
+import io.laburnummoor.core.process.Supervisor;
 import io.laburnummoor.core.version.ForwardConfig;
 import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewayMetrics;
@@ -41,7 +43,7 @@
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final Clock clock;
-    private final Thread thread;
+    private final SupervisedThread thread;
     private final InstanceRegistry registry = new InstanceRegistry(this::isServiceKnown, new RegistryLog());
     private final Map<String, InetSocketAddress> addressByRouter = new TreeMap<>();
     private final String routerName;
@@ -51,7 +53,6 @@
     private ChangeFeed.Batch last = NOTHING_READ;
 
     private long pauseMillis = StorePollSchedule.RETRY_MILLIS;
-    private volatile boolean stopping;
 
     public StoreFollower(
             String routerName,
@@ -63,6 +64,7 @@
             ConfigFreshness freshness,
             DecisionLog log,
             GatewayMetrics metrics,
+            Supervisor supervisor,
             Clock clock) {
         this.routerName = routerName;
         this.rolloutFollower = rolloutFollower;
@@ -74,8 +76,7 @@
         this.log = log;
         this.metrics = metrics;
         this.clock = clock;
-        this.thread = new Thread(this::run, "store");
-        this.thread.setDaemon(true);
+        this.thread = new SupervisedThread("store", supervisor, this::run);
     }
 
     @Override
@@ -85,14 +86,15 @@
 
     @Override
     public void stop() {
-        stopping = true;
-        thread.interrupt();
+        thread.stop();
     }
 
+    /** Starts with a complete read, since an earlier run may have ended between two changes. */
     private void run() {
+        forgetVersion();
         Runnable guardedPoll = new GuardedTask(this::pollOnce, this::onFault);
         Runnable guardedExpiry = new GuardedTask(this::dropExpired, this::onFault);
-        while (!stopping) {
+        while (!thread.isStopping()) {
             pauseMillis = StorePollSchedule.RETRY_MILLIS;
             guardedPoll.run();
             guardedExpiry.run();
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/StopSignal.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/StopSignal.java
@@ -1,9 +1,11 @@
 package io.laburnummoor.wire.process;
 
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 
+import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.Supervisor;
+import io.laburnummoor.core.process.ThreadFailure;
 import org.jboss.logging.Logger;
 
 /** Starts the services of a process and stops them in reverse order when the process is asked to end. */
@@ -12,27 +14,35 @@
 
     private StopSignal() {}
 
+    /** Returns a supervisor for processes without a log of their own. */
+    public static Supervisor newSupervisor() {
+        return new Supervisor(Clock.monotonic(), new LoggedFailures(), Runtime.getRuntime()::halt);
+    }
+
+    /** Runs the services of a process without a log of its own until it is asked to end. */
+    public static void runUntilStopped(List<Service> services) {
+        runUntilStopped(services, newSupervisor());
+    }
+
     /**
      * Starts the services in order and waits. SIGTERM and SIGINT stop them in reverse order; the process then ends with
-     * status 0.
+     * status 0, or with {@link Supervisor#FAILURE_STATUS} if the supervisor ends it.
      */
-    public static void runUntilStopped(List<Service> services) {
-        CountDownLatch stopped = new CountDownLatch(1);
+    public static void runUntilStopped(List<Service> services, Supervisor supervisor) {
         Thread hook = new Thread(
                 () -> {
                     stopAll(services);
-                    stopped.countDown();
                     // A JVM that ends by a signal reports 128 + signal; a planned stop must report 0.
                     Runtime.getRuntime().halt(0);
                 },
                 "stop");
-        services.forEach(Service::start);
-        Runtime.getRuntime().addShutdownHook(hook);
         try {
-            stopped.await();
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
+            services.forEach(Service::start);
+            Runtime.getRuntime().addShutdownHook(hook);
+        } catch (Throwable failure) {
+            supervisor.ended(new ThreadFailure("main", failure, 0, 0));
         }
+        supervisor.awaitFailure();
     }
 
     private static void stopAll(List<Service> services) {
--- a/laburnummoor-wire/src/test/java/io/laburnummoor/wire/process/JsonHttpErrorTest.java
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/process/JsonHttpErrorTest.java
@@ -88,10 +88,8 @@
                     .asInt();
             default -> {
                 Integer read = http.postStreaming(
-                        address,
-                        JsonNodeFactory.instance.objectNode(),
-                        TIMEOUT_MILLIS,
-                        document -> document.path("n").asInt());
+                        address, JsonNodeFactory.instance.objectNode(), TIMEOUT_MILLIS, document -> document.path("n")
+                                .asInt());
                 yield read == null ? 0 : read;
             }
         };
