Answer a request whose callback or timer ended with an error

A request whose callback in an engine's connection, or whose timer, raised an error or an exception got no answer before its deadline, then 504: Netty only prints faults of its listeners and drops those of timers, and the fault handler of the engine's connection no longer knew the request after its last byte. The log had no line about it.

Callbacks and timers of a request are guarded now: a fault before the request was sent is a lost attempt, which is repeated elsewhere if it may be; any other one ends the request with 502 at once and caller_connection_fault. The event loop and the next request are not affected.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerResponse.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 
+import io.laburnummoor.core.process.GuardedTask;
 import io.laburnummoor.gateway.process.GatewayContext;
 import io.laburnummoor.gateway.request.CallerExchange;
 import io.laburnummoor.gateway.request.CallerRequestHead;
@@ -46,6 +47,24 @@
         this.keepAlive = keepAlive;
     }
 
+    @Override
+    public Runnable guarded(Runnable task) {
+        return new GuardedTask(task, this::onFault);
+    }
+
+    private void onFault(Throwable fault) {
+        if (ended) {
+            gateway.log()
+                    .line("caller_connection_fault")
+                    .text("request", requestId())
+                    .text("error", fault.toString())
+                    .number("status", 0)
+                    .write();
+        } else {
+            connection.exceptionCaught(context, fault);
+        }
+    }
+
     /** Closes the connection after the response, so that the caller's next connection may reach another router. */
     void closeAfterResponse() {
         keepAlive = false;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -123,7 +123,7 @@
     /** Schedules a message after a change of the state that it holds. May be called by any thread. */
     public void stateChanged() {
         if (sendScheduled.compareAndSet(false, true)) {
-            loop.schedule(this::send, COALESCE_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(new GuardedTask(this::send, this::onFault), COALESCE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -150,6 +150,11 @@
         return connectionRequestCount;
     }
 
+    /** Returns a task whose failure ends the request with an error. */
+    Runnable guarded(Runnable task) {
+        return session.guarded(task);
+    }
+
     boolean hasEnded() {
         return ended;
     }
@@ -290,6 +295,10 @@
 
     @Override
     public void onComplete() {
+        guarded(this::complete).run();
+    }
+
+    private void complete() {
         UpstreamResponseHead responseHead = head;
         HttpHeaders headers = responseHeaders;
         if (ended || responseHead == null || headers == null) {
@@ -313,7 +322,7 @@
     @Override
     public void onFailure(String cause) {
         if (!ended) {
-            session.onConnectionFailed(this, cause);
+            guarded(() -> session.onConnectionFailed(this, cause)).run();
         }
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -217,10 +217,28 @@
      * response would have the same attempt id as the second one.
      */
     void connect(Attempt attempt, boolean repeatsUpstream, Consumer<@Nullable UpstreamConnection> consumer) {
+        Consumer<@Nullable UpstreamConnection> guarded =
+                opened -> attempt.guarded(() -> use(attempt, opened, consumer)).run();
         if (repeatsUpstream) {
-            pool.open(attempt.instance(), consumer);
+            pool.open(attempt.instance(), guarded);
         } else {
-            pool.connect(attempt.instance(), consumer);
+            pool.connect(attempt.instance(), guarded);
+        }
+    }
+
+    /** Passes the connection on. A fault on the way ends the attempt as a lost one if the request may be repeated. */
+    private void use(
+            Attempt attempt, @Nullable UpstreamConnection opened, Consumer<@Nullable UpstreamConnection> consumer) {
+        try {
+            consumer.accept(opened);
+        } catch (Throwable fault) {
+            if (opened != null) {
+                opened.cancel();
+            }
+            if (attempt.hasEnded() || !route.retryPolicy().mayRetryAfterRun()) {
+                throw fault;
+            }
+            attempt.onFailure("fault of the gateway: " + fault);
         }
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptMonitor.java
@@ -50,6 +50,9 @@
 
     /** Receives the findings of a monitor. */
     interface Listener {
+        /** Returns a task for a timer or a callback; its failure ends the request with an error. */
+        Runnable guarded(Runnable task);
+
         /**
          * Called when the attempt has been silent for too long, and again at intervals while it is. Its upstream may
          * still be sound, so the attempt goes on until another one can take its place.
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CallerExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CallerExchange.java
@@ -29,6 +29,9 @@
      */
     boolean isConnected();
 
+    /** Returns a task whose failure, errors of the virtual machine included, ends the exchange with an error. */
+    Runnable guarded(Runnable task);
+
     /** Returns whether more events can be written without filling the write buffer. */
     boolean isWritable();
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -68,7 +68,7 @@
         this.crashReporter = new CrashReporter(context, loop, pool, request, service.name());
         this.trace = new RequestTrace(context, request, route, service.name());
         this.retries = new RetryGate(context, service.name(), history, crashReporter, request.deadlineMillis(route));
-        this.resumptionWait = new ResumptionWait(loop, this::resume);
+        this.resumptionWait = new ResumptionWait(loop, exchange.guarded(this::resume));
         this.monitor = AttemptMonitor.of(
                 context,
                 loop,
@@ -76,8 +76,8 @@
                 route,
                 new SecondAttempts(this, context, exchange, launcher, running, retries, history, crashReporter, trace));
         this.delivery = new StreamDelivery(context, exchange, request, history, launcher, monitor, trace);
-        this.deadlineTimer =
-                loop.schedule(() -> fail("deadline_exceeded", 0), retries.remainingMillis(), TimeUnit.MILLISECONDS);
+        Runnable whenOverdue = guarded(() -> fail("deadline_exceeded", 0));
+        this.deadlineTimer = loop.schedule(whenOverdue, retries.remainingMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Starts the first attempt. */
@@ -92,11 +92,11 @@
             onCallerDisconnected();
             return;
         }
-        launcher.prepare(loop, () -> {
+        launcher.prepare(loop, guarded(() -> {
             if (!done) {
                 startAttempt("first");
             }
-        });
+        }));
     }
 
     /** Cancels all attempts, since the caller has disconnected. */
@@ -118,6 +118,11 @@
         running.setAutoRead(writable);
     }
 
+    /** Returns a task for a timer or a callback, which would only print a fault of it. */
+    Runnable guarded(Runnable task) {
+        return exchange.guarded(task);
+    }
+
     private long now() {
         return context.clock().nowMillis();
     }
@@ -302,7 +307,7 @@
     /** Called when the connection broke, which may mean that the request crashed the upstream. */
     void onConnectionFailed(Attempt attempt, String cause) {
         endLost(attempt, cause);
-        crashReporter.onConnectionLost(attempt, () -> retryLost(attempt));
+        crashReporter.onConnectionLost(attempt, guarded(() -> retryLost(attempt)));
     }
 
     void onLost(Attempt attempt, String cause) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeMonitor.java
@@ -27,14 +27,12 @@
     @Override
     public void started(Attempt attempt) {
         stop();
-        timer = loop.schedule(
-                () -> {
-                    if (!attempt.hasEnded()) {
-                        listener.onHedgeDue(attempt);
-                    }
-                },
-                hedgeAfterMillis,
-                TimeUnit.MILLISECONDS);
+        Runnable whenDue = listener.guarded(() -> {
+            if (!attempt.hasEnded()) {
+                listener.onHedgeDue(attempt);
+            }
+        });
+        timer = loop.schedule(whenDue, hedgeAfterMillis, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/SecondAttempts.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/SecondAttempts.java
@@ -42,6 +42,11 @@
         this.trace = trace;
     }
 
+    @Override
+    public Runnable guarded(Runnable task) {
+        return exchange.guarded(task);
+    }
+
     @Override
     public void onHedgeDue(Attempt attempt) {
         if (mayStartBeside(attempt) && retries.tryRetry()) {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
@@ -89,7 +89,7 @@
         if (timer != null) {
             timer.cancel(false);
         }
-        timer = loop.schedule(this::checkProgress, Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
+        timer = loop.schedule(listener.guarded(this::checkProgress), Math.max(1, delayMillis), TimeUnit.MILLISECONDS);
     }
 
     private void checkProgress() {
@@ -134,18 +134,21 @@
 
     private void probe(Attempt attempt) {
         probing = true;
-        pool.probe(attempt.instance(), alive -> {
-            if (monitored != attempt || attempt.hasEnded() || attempt.hasEvents()) {
-                return;
-            }
-            probing = false;
-            if (alive) {
-                failedProbes = 0;
-                attempt.target().recordLastSeen(clock.nowMillis());
-            } else {
-                onProbeFailed(attempt, clock.nowMillis());
-            }
-        });
+        pool.probe(attempt.instance(), alive -> listener.guarded(() -> onProbed(attempt, alive))
+                .run());
+    }
+
+    private void onProbed(Attempt attempt, boolean alive) {
+        if (monitored != attempt || attempt.hasEnded() || attempt.hasEvents()) {
+            return;
+        }
+        probing = false;
+        if (alive) {
+            failedProbes = 0;
+            attempt.target().recordLastSeen(clock.nowMillis());
+        } else {
+            onProbeFailed(attempt, clock.nowMillis());
+        }
     }
 
     private void onProbeFailed(Attempt attempt, long now) {
