Stop the other services also after an error in one

An error in the stop of one service ended the planned stop: the services behind it, the log among them, were not stopped, and the process ended with the signal's status in place of 0.

--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/StopSignal.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/StopSignal.java
@@ -4,6 +4,7 @@
 
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.GuardedTask;
 import io.laburnummoor.core.process.Supervisor;
 import io.laburnummoor.core.process.ThreadFailure;
 import org.jboss.logging.Logger;
@@ -45,13 +46,10 @@
         supervisor.awaitFailure();
     }
 
-    private static void stopAll(List<Service> services) {
+    static void stopAll(List<Service> services) {
         for (int i = services.size() - 1; i >= 0; i--) {
-            try {
-                services.get(i).stop();
-            } catch (RuntimeException failure) {
-                LOGGER.error("service did not stop cleanly", failure);
-            }
+            Service each = services.get(i);
+            new GuardedTask(each::stop, failure -> LOGGER.error("service did not stop cleanly", failure)).run();
         }
     }
 }
