End the process when a listener has been closed

Netty closes a listener when an accept ends by an error other than an IOException, for example an OutOfMemoryError: the gateway went on, and nobody could connect to it, or ask for its readiness, any more. The closed listener is reported to the supervisor now: readiness says not ready, and the process ends with status 70.

ClosedListenerTest.theProcessDoesNotGoOn: 3 of 3 rows failed before.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -12,6 +12,7 @@
 import io.laburnummoor.core.process.ChangeFeed;
 import io.laburnummoor.core.process.StopSchedule;
 import io.laburnummoor.core.process.Supervisor;
+import io.laburnummoor.core.process.ThreadFailure;
 import io.laburnummoor.gateway.connection.CallerChannelInitializer;
 import io.laburnummoor.gateway.version.RelayedChanges;
 import io.netty.bootstrap.ServerBootstrap;
@@ -93,8 +94,8 @@
     public void start() {
         GatewaySettings settings = context.settings();
         eventLoopMonitor.start();
-        listen(settings.readyPort(), new StatusEndpoint(target -> readinessReply()));
-        listen(settings.metricsPort(), new StatusEndpoint(this::internalReply));
+        listen("readiness listener", settings.readyPort(), new StatusEndpoint(target -> readinessReply()));
+        listen("metrics listener", settings.metricsPort(), new StatusEndpoint(this::internalReply));
         context.state().awaitInitialState(INITIAL_STATE_TIMEOUT_MILLIS);
         callerListener = new ServerBootstrap()
                 .group(eventLoops)
@@ -104,6 +105,7 @@
                 .register()
                 .syncUninterruptibly()
                 .channel();
+        require("caller listener", callerListener);
         context.log().line("accepting_callers").write();
     }
 
@@ -126,8 +128,8 @@
                         RelayedChanges.encode(changes, context.configFreshness().ageMillis()));
     }
 
-    private void listen(int port, ChannelInitializer<SocketChannel> initializer) {
-        new ServerBootstrap()
+    private void listen(String name, int port, ChannelInitializer<SocketChannel> initializer) {
+        Channel listener = new ServerBootstrap()
                 .group(eventLoops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -135,7 +137,14 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer)
                 .bind(context.settings().host(), port)
-                .syncUninterruptibly();
+                .syncUninterruptibly()
+                .channel();
+        require(name, listener);
+    }
+
+    /** Netty closes a listener when an accept ends by an error other than an IOException; nobody could connect then. */
+    private void require(String name, Channel listener) {
+        listener.closeFuture().addListener(closed -> supervisor.ended(new ThreadFailure(name, null, 0, 0)));
     }
 
     /**
