Open the load exchange again when its channel has been closed

Netty closes the channel of the load exchange when a read ends by an error other than a SocketException. The routers then no longer saw each other's load until the process ended.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -29,6 +29,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -71,7 +72,8 @@
     private final EventLoop loop;
     private final long incarnation = ThreadLocalRandom.current().nextLong();
     private final AtomicBoolean sendScheduled = new AtomicBoolean();
-    private @Nullable Channel channel;
+    private volatile @Nullable Channel channel;
+    private volatile boolean stopping;
     private long sequence;
 
     /** Creates an exchange that runs on one of the event loops of the process. */
@@ -98,13 +100,7 @@
 
     @Override
     public void start() {
-        channel = new Bootstrap()
-                .group(loop)
-                .channel(NioDatagramChannel.class)
-                .handler(new Receiver())
-                .bind(settings.host(), settings.exchangePort())
-                .syncUninterruptibly()
-                .channel();
+        open().syncUninterruptibly();
         loop.scheduleWithFixedDelay(
                 new GuardedTask(this::sendPeriodically, this::onFault),
                 SEND_INTERVAL_MILLIS,
@@ -112,8 +108,35 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private ChannelFuture open() {
+        ChannelFuture opening = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .handler(new Receiver())
+                .bind(settings.host(), settings.exchangePort());
+        Channel opened = opening.channel();
+        channel = opened;
+        opened.closeFuture().addListener(closed -> reopenLater());
+        return opening;
+    }
+
+    /** Netty closes the channel when a read ends by an error other than a SocketException. */
+    private void reopenLater() {
+        if (!stopping) {
+            log.line("load_exchange_closed").write();
+            Runnable reopening = new GuardedTask(this::open, this::onFailedOpen);
+            loop.schedule(reopening, SEND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void onFailedOpen(Throwable fault) {
+        onFault(fault);
+        reopenLater();
+    }
+
     @Override
     public void stop() {
+        stopping = true;
         Channel open = channel;
         if (open != null) {
             open.close();
