--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -11,6 +11,8 @@
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.process.ChangeFeed;
 import io.laburnummoor.core.process.StopSchedule;
+import io.laburnummoor.core.process.Supervisor;
+import io.laburnummoor.core.process.ThreadFailure;
 import io.laburnummoor.gateway.connection.CallerChannelInitializer;
 import io.laburnummoor.gateway.version.RelayedChanges;
 import io.netty.bootstrap.ServerBootstrap;
@@ -37,6 +39,7 @@
 
     private final GatewayContext context;
     private final Readiness readiness;
+    private final Supervisor supervisor;
     private final EventLoopGroup eventLoops;
     private final ServerSocketChannel callerSocket;
     private final EventLoopMonitor eventLoopMonitor;
@@ -49,9 +52,14 @@
      * @param callerSocket socket returned by {@link #bindCallerSocket}
      */
     public GatewayServer(
-            GatewayContext context, Readiness readiness, EventLoopGroup eventLoops, ServerSocketChannel callerSocket) {
+            GatewayContext context,
+            Readiness readiness,
+            Supervisor supervisor,
+            EventLoopGroup eventLoops,
+            ServerSocketChannel callerSocket) {
         this.context = context;
         this.readiness = readiness;
+        this.supervisor = supervisor;
         this.eventLoops = eventLoops;
         this.callerSocket = callerSocket;
         this.eventLoopMonitor = new EventLoopMonitor(eventLoops, context);
@@ -72,17 +80,22 @@
         }
     }
 
-    /** Creates the event loops of the process. */
-    public static EventLoopGroup newEventLoopGroup() {
-        return new NioEventLoopGroup(EVENT_LOOP_COUNT, new DefaultThreadFactory("loop", true));
+    /** Creates the event loops of the process. Their connections cannot outlive them, so their end ends the process. */
+    public static EventLoopGroup newEventLoopGroup(Supervisor supervisor) {
+        return new NioEventLoopGroup(EVENT_LOOP_COUNT, new DefaultThreadFactory("loop", true) {
+            @Override
+            protected Thread newThread(Runnable loop, String name) {
+                return super.newThread(supervisor.required(name, loop), name);
+            }
+        });
     }
 
     @Override
     public void start() {
         GatewaySettings settings = context.settings();
         eventLoopMonitor.start();
-        listen(settings.readyPort(), new StatusEndpoint(target -> readinessReply()));
-        listen(settings.metricsPort(), new StatusEndpoint(this::internalReply));
+        listen("readiness listener", settings.readyPort(), new StatusEndpoint(target -> readinessReply()));
+        listen("metrics listener", settings.metricsPort(), new StatusEndpoint(this::internalReply));
         context.state().awaitInitialState(INITIAL_STATE_TIMEOUT_MILLIS);
         callerListener = new ServerBootstrap()
                 .group(eventLoops)
@@ -92,6 +105,7 @@
                 .register()
                 .syncUninterruptibly()
                 .channel();
+        require("caller listener", callerListener);
         context.log().line("accepting_callers").write();
     }
 
@@ -114,8 +128,8 @@
                         RelayedChanges.encode(changes, context.configFreshness().ageMillis()));
     }
 
-    private void listen(int port, ChannelInitializer<SocketChannel> initializer) {
-        new ServerBootstrap()
+    private void listen(String name, int port, ChannelInitializer<SocketChannel> initializer) {
+        Channel listener = new ServerBootstrap()
                 .group(eventLoops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -123,7 +137,14 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer)
                 .bind(context.settings().host(), port)
-                .syncUninterruptibly();
+                .syncUninterruptibly()
+                .channel();
+        require(name, listener);
+    }
+
+    /** Netty closes a listener when an accept ends by an error other than an IOException; nobody could connect then. */
+    private void require(String name, Channel listener) {
+        listener.closeFuture().addListener(closed -> supervisor.ended(new ThreadFailure(name, null, 0, 0)));
     }
 
     /**
@@ -133,6 +154,7 @@
      */
     @Override
     public void stop() {
+        supervisor.beginStop();
         long start = context.clock().nowMillis();
         context.state().beginDraining(start);
         StopSchedule schedule = StopSchedule.of(start, context.settings().stopMillis());
