--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -222,7 +222,7 @@
             return;
         }
         UpstreamResponseHead responseHead = codec.decodeUpstreamResponse(response);
-        if (!session.answersThisRequest(responseHead)) {
+        if (!requestId.equals(responseHead.attemptId())) {
             if (connection != null && connection.skipLateResponse(responseHead.attemptId())) {
                 session.onLateResponse(this, responseHead);
                 return;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -197,10 +197,6 @@
         return done;
     }
 
-    boolean answersThisRequest(UpstreamResponseHead head) {
-        return request.id().equals(head.attemptId());
-    }
-
     /** Called when a second response to an earlier request was received and is skipped. */
     void onLateResponse(Attempt attempt, UpstreamResponseHead head) {
         trace.lateResponseSkipped(attempt, head);
