Bound the memory of all requests of callers together

What callers saw: 30 to 60 callers that send bodies of 4 MB at once, each within its limits, beside 40 slow readers of answers make the process run out of heap: 503 and closed connections for whatever runs next, on any connection.

Cause: the buffer of a body had its whole size when the head arrived, was copied once more when it was complete, and only each body had a bound. Parts that were sent ahead kept the whole buffer of a read alive and were bounded in number.

Heads, bodies and parts sent ahead now count against one budget, a quarter of the heap beside the third for bytes of upstreams. The body grows in chunks with what arrives, is not copied for the session, and counts until the last attempt that sends it has released it. What does not fit is answered 503 with Retry-After before it has been read completely, in the order of the requests on its connection, which then closes in two steps. The fingerprint of a request is computed at the loss, since the body is gone when the crash is confirmed.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/CallerConnection.java
@@ -1,8 +1,6 @@
 package io.laburnummoor.gateway.connection;
 
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
 import io.laburnummoor.core.process.GuardedTask;
@@ -11,13 +9,10 @@
 import io.laburnummoor.gateway.request.CallerRequestHead;
 import io.laburnummoor.gateway.request.ForwardSession;
 import io.laburnummoor.gateway.request.LocalReply;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -38,22 +33,21 @@
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** Interval of the checks for overdue requests and idle connections. */
     private static final long TIMEOUT_CHECK_MILLIS = 1_000;
-    /** Number of buffered parts of pipelined requests at which reading pauses. */
-    private static final int MAX_PIPELINED_MESSAGES = 64;
-
     /** Error code of a fault within the gateway. */
     private static final String FAULT = "internal";
 
     private final GatewayContext gateway;
     private final UpstreamPool pool;
     private final WriteProgress writeProgress = new WriteProgress();
-    private final Deque<Object> pipelined = new ArrayDeque<>();
+    private final PipelinedMessages pipelined;
     private @Nullable ScheduledFuture<?> timeoutTimer;
-    private @Nullable HttpRequest head;
-    private @Nullable ByteBuf body;
+    /** Request that has not arrived completely. */
+    private @Nullable HeldRequest incoming;
+    /** Complete request whose response is not queued yet. */
+    private @Nullable HeldRequest open;
+
     private @Nullable CallerResponse response;
     private @Nullable ForwardSession session;
-    private long headArrivedAtMillis;
     private long idleSinceMillis;
     private long partialHeadSinceMillis = -1;
     private boolean bytesReceived;
@@ -62,12 +56,13 @@
     CallerConnection(GatewayContext gateway, UpstreamPool pool) {
         this.gateway = gateway;
         this.pool = pool;
+        this.pipelined = new PipelinedMessages(gateway.state().requestBudget());
     }
 
     /** Records that bytes have arrived, before the decoder processes them; the first ones start the header timeout. */
     void onBytesReceived() {
         bytesReceived = true;
-        if (head == null && response == null && partialHeadSinceMillis < 0) {
+        if (incoming == null && response == null && partialHeadSinceMillis < 0) {
             partialHeadSinceMillis = now();
         }
     }
@@ -87,11 +82,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
         releaseAll();
-        ForwardSession open = session;
-        session = null;
-        if (open != null) {
-            open.onCallerDisconnected();
-        }
+        disconnectSession();
         endExchange();
     }
 
@@ -99,7 +90,7 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         CallerResponse current = response;
         boolean broken = cause instanceof IOException;
-        boolean answerDue = !broken && !closing && (current == null ? head != null : !current.hasStarted());
+        boolean answerDue = !broken && !closing && (current == null ? incoming != null : !current.hasStarted());
         LocalReply reply = session == null
                 ? LocalReply.notRun(FAULT, RequestAdmission.RETRY_AFTER_MILLIS)
                 : LocalReply.upstreamLost(FAULT);
@@ -123,18 +114,21 @@
 
     /** Ends the request that failed within the gateway with an answer that tells whether it may have run. */
     private void answerFault(ChannelHandlerContext context, LocalReply reply) {
-        ForwardSession open = session;
-        session = null;
-        head = null;
-        releaseBody();
-        if (open != null) {
-            open.onCallerDisconnected();
-        }
+        releaseIncoming();
+        disconnectSession();
         CallerResponse exchange = response == null ? openExchange(context, CallerRequestHead.UNKNOWN, false) : response;
         exchange.closeAfterResponse();
         exchange.sendLocalReply(reply);
     }
 
+    private void disconnectSession() {
+        ForwardSession current = session;
+        session = null;
+        if (current != null) {
+            current.onCallerDisconnected();
+        }
+    }
+
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (session != null) {
@@ -147,8 +141,8 @@
         if (closing) {
             ReferenceCountUtil.release(message);
         } else if (response != null) {
-            pipelined.addLast(message);
-            if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
+            pipelined.add(message);
+            if (pipelined.isFull()) {
                 context.channel().config().setAutoRead(false);
             }
         } else {
@@ -178,7 +172,7 @@
             if (message instanceof HttpRequest request) {
                 beginRequest(context, request);
             }
-            if (message instanceof HttpContent content && head != null) {
+            if (message instanceof HttpContent content && incoming != null) {
                 appendBody(context, content);
             }
         } finally {
@@ -188,64 +182,51 @@
 
     private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
         partialHeadSinceMillis = -1;
-        headArrivedAtMillis = now();
-        if (request.decoderResult().isFailure()) {
-            boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
-            refuseUnreadable(
-                    context,
-                    tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
-            return;
-        }
-        if (StrictRequestDecoder.hasAmbiguousLength(request)) {
-            refuseUnreadable(context, HttpResponseStatus.BAD_REQUEST);
-            return;
-        }
-        long length = HttpUtil.getContentLength(request, -1L);
-        if (length > gateway.state().limits().bodyBytes()) {
-            refuseUnreadable(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        HttpResponseStatus refusal =
+                StrictRequestDecoder.refusalOf(request, gateway.state().limits().bodyBytes());
+        if (refusal != null) {
+            refuseUnreadable(context, refusal);
             return;
         }
-        head = request;
-        body = Unpooled.buffer((int) Math.max(0, length));
-        if (HttpUtil.is100ContinueExpected(request)) {
+        HeldRequest begun = new HeldRequest(gateway.state().requestBudget(), request, now());
+        incoming = begun;
+        if (!begun.reserveHead()) {
+            refuseOverBudget(context);
+        } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
     private void appendBody(ChannelHandlerContext context, HttpContent content) {
-        ByteBuf collected = body;
-        if (collected == null) {
+        HeldRequest request = incoming;
+        if (request == null) {
             return;
         }
         if (content.decoderResult().isFailure()) {
             refuseUnreadable(context, HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        if (collected.readableBytes() + content.content().readableBytes()
+        if (request.bodyBytes() + content.content().readableBytes()
                 > gateway.state().limits().bodyBytes()) {
             refuseUnreadable(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        collected.writeBytes(content.content());
-        if (content instanceof LastHttpContent) {
-            dispatch(context);
+        if (!request.append(content.content())) {
+            refuseOverBudget(context);
+        } else if (content instanceof LastHttpContent) {
+            dispatch(context, request);
         }
     }
 
-    private void dispatch(ChannelHandlerContext context) {
-        HttpRequest request = head;
-        ByteBuf collected = body;
-        if (request == null || collected == null) {
-            return;
-        }
-        CallerRequestHead caller = gateway.headerCodec().decodeCallerRequest(request.headers());
-        byte[] bytes = new byte[collected.readableBytes()];
-        collected.readBytes(bytes);
-        releaseBody();
-        head = null;
-        CallerResponse exchange = openExchange(context, caller, HttpUtil.isKeepAlive(request));
+    private void dispatch(ChannelHandlerContext context, HeldRequest request) {
+        CallerRequestHead caller =
+                gateway.headerCodec().decodeCallerRequest(request.head().headers());
+        request.complete();
+        incoming = null;
+        open = request;
+        CallerResponse exchange = openExchange(context, caller, HttpUtil.isKeepAlive(request.head()));
         // Runs after the channel has been read, since the session reads it again before each send.
-        execute(context, () -> admit(context, request, bytes, caller, exchange));
+        execute(context, () -> admit(context, request, caller, exchange));
     }
 
     private CallerResponse openExchange(ChannelHandlerContext context, CallerRequestHead caller, boolean keepAlive) {
@@ -261,26 +242,38 @@
     }
 
     private void admit(
-            ChannelHandlerContext context,
-            HttpRequest request,
-            byte[] bytes,
-            CallerRequestHead caller,
-            CallerResponse exchange) {
-        ForwardSession newSession = new RequestAdmission(
-                        gateway, context.channel().eventLoop(), pool)
-                .admit(request, bytes, caller, headArrivedAtMillis, exchange);
+            ChannelHandlerContext context, HeldRequest request, CallerRequestHead caller, CallerResponse exchange) {
+        ForwardSession newSession = admission(context).admit(request, caller, exchange);
         if (newSession == null) {
             return;
         }
+        if (request.isReleased()) {
+            newSession.onCallerDisconnected();
+            return;
+        }
         session = newSession;
         newSession.start();
     }
 
+    private RequestAdmission admission(ChannelHandlerContext context) {
+        return new RequestAdmission(gateway, context.channel().eventLoop(), pool);
+    }
+
+    /** Refuses a request that has not arrived completely, since the memory for requests is used up. */
+    private void refuseOverBudget(ChannelHandlerContext context) {
+        HeldRequest refused = incoming;
+        CallerRequestHead caller = refused == null
+                ? CallerRequestHead.UNKNOWN
+                : gateway.headerCodec().decodeCallerRequest(refused.head().headers());
+        releaseIncoming();
+        CallerResponse exchange = openExchange(context, caller, false);
+        admission(context).refuseUnread(caller.attemptId(), exchange);
+    }
+
     /** Rejects a request that cannot be read completely and closes the connection. */
     private void refuseUnreadable(ChannelHandlerContext context, HttpResponseStatus status) {
         closing = true;
-        head = null;
-        releaseBody();
+        releaseIncoming();
         writeProgress.start(now());
         FullHttpResponse refusal = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
         refusal.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
@@ -291,6 +284,7 @@
     /** Called when the last part of a response is queued for writing. */
     void onResponseQueued(boolean keepOpen) {
         closing |= !keepOpen;
+        releaseOpen();
         writeProgress.start(now());
     }
 
@@ -305,14 +299,25 @@
         }
         endExchange();
         idleSinceMillis = now();
-        while (response == null && !closing && !pipelined.isEmpty()) {
-            handle(context, pipelined.pollFirst());
-        }
-        if (pipelined.size() < MAX_PIPELINED_MESSAGES) {
+        handlePipelined(context);
+        if (!pipelined.isFull()) {
             context.channel().config().setAutoRead(true);
         }
     }
 
+    private void handlePipelined(ChannelHandlerContext context) {
+        while (response == null && !closing) {
+            Object message = pipelined.poll();
+            if (message != null) {
+                handle(context, message);
+            } else if (pipelined.hasOverflowed()) {
+                refuseOverBudget(context);
+            } else {
+                return;
+            }
+        }
+    }
+
     /** Ends the open request with its final response, since the process is about to end. */
     void endOpenRequest() {
         if (session != null) {
@@ -322,6 +327,7 @@
 
     /** Counts the request as closed, once its response is written or its caller has gone. */
     private void endExchange() {
+        releaseOpen();
         if (response != null) {
             response = null;
             gateway.state().requestClosed();
@@ -336,8 +342,8 @@
         }
         long now = now();
         boolean headLate = partialHeadSinceMillis >= 0 && now - partialHeadSinceMillis > limits.headerTimeoutMillis();
-        boolean bodyLate = head != null && now - headArrivedAtMillis > limits.idleTimeoutMillis();
-        boolean idle = head == null && partialHeadSinceMillis < 0;
+        boolean bodyLate = incoming != null && now - incoming.arrivedAtMillis() > limits.idleTimeoutMillis();
+        boolean idle = incoming == null && partialHeadSinceMillis < 0;
         if (headLate || bodyLate) {
             refuseUnreadable(context, HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (idle && (gateway.state().isDraining() || now - idleSinceMillis > limits.idleTimeoutMillis())) {
@@ -364,15 +370,21 @@
         if (timeoutTimer != null) {
             timeoutTimer.cancel(false);
         }
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
-        releaseBody();
+        pipelined.release();
+        releaseIncoming();
     }
 
-    private void releaseBody() {
-        if (body != null) {
-            body.release();
-            body = null;
+    private void releaseIncoming() {
+        if (incoming != null) {
+            incoming.release();
+            incoming = null;
+        }
+    }
+
+    private void releaseOpen() {
+        if (open != null) {
+            open.release();
+            open = null;
         }
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/RequestAdmission.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/RequestAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ThreadLocalRandom;
 
+import io.laburnummoor.core.process.BufferBudget;
 import io.laburnummoor.core.process.DrainPolicy;
 import io.laburnummoor.core.request.RequestAuthorizer;
 import io.laburnummoor.core.version.ForwardConfig;
@@ -37,17 +38,18 @@
 
     /** Returns the session of an admitted request, or refuses the request and returns null. */
     @Nullable
-    ForwardSession admit(
-            HttpRequest request,
-            byte[] body,
-            CallerRequestHead caller,
-            long headArrivedAtMillis,
-            CallerResponse exchange) {
+    ForwardSession admit(HeldRequest held, CallerRequestHead caller, CallerResponse exchange) {
+        HttpRequest request = held.head();
         String id = caller.attemptId();
         if (id == null) {
             exchange.sendLocalReply(new LocalReply(HttpResponseStatus.BAD_REQUEST.code(), "bad_request", 0));
             return null;
         }
+        // A response that does not fit would be lost after its request has run.
+        if (!gateway.state().bufferBudget().hasRoom()) {
+            refuseOverBudget(id, "RESPONSE_MEMORY", gateway.state().bufferBudget(), exchange);
+            return null;
+        }
         boolean fresh = gateway.configFreshness()
                 .isWithinRevocationBound(gateway.settings().revocationMillis());
         ForwardConfig config = gateway.state().config();
@@ -69,13 +71,32 @@
                 request.method(),
                 request.uri(),
                 request.headers(),
-                body,
+                held.body(),
                 caller,
                 decision.organisation(),
-                headArrivedAtMillis);
+                held.arrivedAtMillis());
         return new ForwardSession(gateway, loop, pool, exchange, forwardRequest, route, service);
     }
 
+    /** Refuses a request for which no memory is left before it has been read completely. */
+    void refuseUnread(@Nullable String id, CallerResponse exchange) {
+        refuseOverBudget(id, "REQUEST_MEMORY", gateway.state().requestBudget(), exchange);
+    }
+
+    private void refuseOverBudget(@Nullable String id, String reason, BufferBudget budget, CallerResponse exchange) {
+        LocalReply reply = LocalReply.notRun("overloaded", RETRY_AFTER_MILLIS);
+        gateway.log()
+                .line("request_refused")
+                .text("request", id)
+                .text("reason", reason)
+                .number("status", reply.status())
+                .number("used_bytes", budget.usedBytes())
+                .write();
+        gateway.metrics().requestEnded("none", reply.status());
+        exchange.closeAfterResponse();
+        exchange.sendLocalReply(reply);
+    }
+
     private boolean acceptsWhileDraining(ForwardRoute route, long sinceStopMillis) {
         return !gateway.state().isRefusingAll()
                 && DrainPolicy.accepts(
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/ResponseBuffer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/ResponseBuffer.java
@@ -11,8 +11,8 @@
 import io.netty.buffer.UnpooledHeapByteBuf;
 
 /**
- * Collects the body of a response in chunks whose bytes are reserved in the budget of the process until the last user
- * of the body releases it. Not thread-safe.
+ * Collects the body of a response or of a caller's request in chunks whose bytes are reserved in a budget of the
+ * process until the last user of the body releases it. Not thread-safe.
  */
 public final class ResponseBuffer {
     private static final int MIN_CHUNK_BYTES = 256;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/StrictRequestDecoder.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/StrictRequestDecoder.java
@@ -6,14 +6,18 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decodes callers' requests and detects heads whose body length two HTTP implementations could interpret differently,
@@ -59,8 +63,22 @@
         super.handleTransferEncodingChunkedWithContentLength(message);
     }
 
-    /** Returns whether the length of the body of a request that was decoded is ambiguous. */
-    static boolean hasAmbiguousLength(HttpRequest request) {
+    /** Returns the status that refuses the request because of its head, or null if its body may be read. */
+    static @Nullable HttpResponseStatus refusalOf(HttpRequest request, int maxBodyBytes) {
+        if (request.decoderResult().isFailure()) {
+            boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
+            return tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
+        }
+        if (hasAmbiguousLength(request)) {
+            return HttpResponseStatus.BAD_REQUEST;
+        }
+        return HttpUtil.getContentLength(request, -1L) > maxBodyBytes
+                ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+                : null;
+    }
+
+    /** Returns whether the length of the request's body is ambiguous. */
+    private static boolean hasAmbiguousLength(HttpRequest request) {
         List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         boolean onlyChunked = encodings.size() == 1
                 && HttpHeaderValues.CHUNKED
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -26,6 +26,8 @@
     private static final long RUNNING = Long.MIN_VALUE;
     /** Part of the heap for bytes of upstreams. */
     private static final int HEAP_PART_FOR_BUFFERS = 3;
+    /** Part of the heap for the requests of callers. */
+    private static final int HEAP_PART_FOR_REQUESTS = 4;
 
     private final AtomicReference<@Nullable ForwardConfig> config = new AtomicReference<>();
     private final Snapshot<InstanceTable> instances = new Snapshot<>(InstanceTable.EMPTY);
@@ -37,16 +39,20 @@
     private final Snapshot<Map<String, InetSocketAddress>> peers = new Snapshot<>(Map.of());
     private final RecentChanges recentChanges = new RecentChanges();
     private final BufferBudget bufferBudget;
+    private final BufferBudget requestBudget;
     private final StreamDurationEstimator streamDuration = new StreamDurationEstimator();
 
-    /** Creates a state whose buffers for bytes of upstreams may take a part of the heap. */
+    /** Creates a state whose buffers for bytes of upstreams and for requests may each take a part of the heap. */
     public GatewayState() {
-        this(new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PART_FOR_BUFFERS));
+        this(
+                new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PART_FOR_BUFFERS),
+                new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PART_FOR_REQUESTS));
     }
 
-    /** Creates a state with a budget for the bytes of upstreams. */
-    public GatewayState(BufferBudget bufferBudget) {
+    /** Creates a state with budgets for the bytes of upstreams and for the requests of callers. */
+    public GatewayState(BufferBudget bufferBudget, BufferBudget requestBudget) {
         this.bufferBudget = bufferBudget;
+        this.requestBudget = requestBudget;
     }
 
     /** Returns the current configuration, or null if none is known. */
@@ -160,6 +166,11 @@
         return bufferBudget;
     }
 
+    /** Returns the limit on the memory of the requests that callers have sent and whose responses are not queued. */
+    public BufferBudget requestBudget() {
+        return requestBudget;
+    }
+
     /** Returns the estimate of the duration of streams. */
     public StreamDurationEstimator streamDuration() {
         return streamDuration;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -13,11 +13,11 @@
 import io.laburnummoor.gateway.connection.UpstreamConnection;
 import io.laburnummoor.gateway.connection.UpstreamPool;
 import io.laburnummoor.gateway.process.GatewayContext;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 
@@ -234,15 +234,17 @@
                 remainingMillis,
                 request.organisation(),
                 lastEventId,
-                request.body().length,
+                request.body().readableBytes(),
                 backup == null ? null : backup.instance(),
                 attempt.resumesFromBackup() ? instance.address() : null);
+        // Before the body is retained, which a failure would not release.
+        HttpHeaders headers = context.headerCodec().encodeUpstreamRequest(request.headers(), requestHead);
         return new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 request.method(),
                 request.target(),
-                Unpooled.wrappedBuffer(request.body()),
-                context.headerCodec().encodeUpstreamRequest(request.headers(), requestHead),
+                request.body().retainedDuplicate(),
+                headers,
                 EmptyHttpHeaders.INSTANCE);
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CrashReporter.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CrashReporter.java
@@ -114,36 +114,41 @@
             return;
         }
         long wallMillis = System.currentTimeMillis();
-        context.crashSuspects().recordLoss(request.fingerprint());
-        loop.schedule(() -> confirmRequestCrash(instance, wallMillis), CONFIRM_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        // The body is no longer there when the crash is confirmed.
+        String fingerprint = request.fingerprint();
+        context.crashSuspects().recordLoss(fingerprint);
+        loop.schedule(
+                () -> confirmRequestCrash(instance, fingerprint, wallMillis),
+                CONFIRM_DELAY_MILLIS,
+                TimeUnit.MILLISECONDS);
         if (promptParts.isEmpty()) {
             whenChecked.run();
             return;
         }
         pool.probe(instance, alive -> {
             if (!alive) {
-                countPromptPartCrash(instance, wallMillis);
+                countPromptPartCrash(instance, fingerprint, wallMillis);
             }
             whenChecked.run();
             if (alive) {
-                checkLasting(attempt.target(), wallMillis);
+                checkLasting(attempt.target(), fingerprint, wallMillis);
             }
         });
     }
 
     /** Counts a crash if the upstream accepts connections without keeping them, and its other ones are silent, too. */
-    private void checkLasting(InstanceState upstream, long wallMillis) {
+    private void checkLasting(InstanceState upstream, String fingerprint, long wallMillis) {
         long aliveAfterMillis = context.clock().nowMillis() + LASTING_MILLIS / 2;
         pool.probeLasting(upstream.instance(), LASTING_MILLIS, lasting -> {
             if (!lasting && upstream.lastSeenMillis() <= aliveAfterMillis) {
-                countPromptPartCrash(upstream.instance(), wallMillis);
+                countPromptPartCrash(upstream.instance(), fingerprint, wallMillis);
             }
         });
     }
 
-    private void countPromptPartCrash(UpstreamInstance instance, long wallMillis) {
+    private void countPromptPartCrash(UpstreamInstance instance, String fingerprint, long wallMillis) {
         trial = false;
-        PromptPartCrash crash = PromptPartCrash.of(instance, wallMillis, request.fingerprint());
+        PromptPartCrash crash = PromptPartCrash.of(instance, wallMillis, fingerprint);
         ownCrashes.add(crash);
         context.promptParts().recordCrash(promptParts, crash);
         context.loadExchange().stateChanged();
@@ -159,7 +164,7 @@
      * Counts the crash against the request if the upstream accepts no connection after a short delay and the rest of
      * its failure domain is alive; otherwise the request is not the cause.
      */
-    private void confirmRequestCrash(UpstreamInstance instance, long wallMillis) {
+    private void confirmRequestCrash(UpstreamInstance instance, String fingerprint, long wallMillis) {
         long now = context.clock().nowMillis();
         if (context.domainOutages().isSuspect(instance.service(), instance.failureDomain(), now)) {
             return;
@@ -168,7 +173,6 @@
             if (alive) {
                 return;
             }
-            String fingerprint = request.fingerprint();
             context.crashSuspects().recordCrash(fingerprint, new CrashRecord(instance.id(), wallMillis, false));
             context.loadExchange().stateChanged();
             context.log()
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardRequest.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardRequest.java
@@ -2,6 +2,8 @@
 
 import io.laburnummoor.core.process.RendezvousHash;
 import io.laburnummoor.core.version.ForwardRoute;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -14,7 +16,7 @@
  * @param method HTTP method
  * @param target path and query, unchanged
  * @param headers headers as received
- * @param body complete body
+ * @param body complete body; valid until the response is queued
  * @param callerHead decoded head
  * @param organisation organisation of the caller, or null
  * @param arrivedAtMillis monotonic time at which the head was complete
@@ -24,7 +26,7 @@
         HttpMethod method,
         String target,
         HttpHeaders headers,
-        byte[] body,
+        ByteBuf body,
         CallerRequestHead callerHead,
         @Nullable String organisation,
         long arrivedAtMillis) {
@@ -43,7 +45,8 @@
      */
     String fingerprint() {
         long head = RendezvousHash.hash(method + " " + target + " " + organisation);
-        long[] content = MurmurHash3.hash128x64(body, 0, body.length, Long.hashCode(head));
+        byte[] bytes = ByteBufUtil.getBytes(body, body.readerIndex(), body.readableBytes(), false);
+        long[] content = MurmurHash3.hash128x64(bytes, 0, bytes.length, Long.hashCode(head));
         return Long.toHexString(head) + Long.toHexString(content[0]);
     }
 }
