Bound the lines that wait for the log by length, too

What operators would see: a process whose output nobody reads grows by up to 4,096 lines of any length. Lines hold what callers choose, such as ids as long as a header line.

Cause: the bound counted lines only. The writer also built all of them as one text and once more as bytes.

Lines that wait or are being written now have at most 2 Mi characters, 4 MB, together; further ones are dropped and counted as before. They are encoded and written in pieces of 64 Ki characters.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/DecisionLog.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/DecisionLog.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
@@ -15,8 +16,8 @@
 
 /**
  * Structured log with one JSON line for each decision and each change of known state. Lines pass through a bounded
- * queue to a writer thread; when the queue is full, lines are dropped and counted, so that no request waits for the
- * log.
+ * queue to a writer thread; when the queue is full, by number or by length, lines are dropped and counted, so that no
+ * request waits for the log.
  *
  * <pre>{@code
  * log.line("upstream_chosen").text("request", id).number("load", 3).write();
@@ -24,11 +25,18 @@
  */
 public final class DecisionLog implements Service {
     private static final int QUEUE_LINES = 4_096;
+    /** Limits the heap that waiting lines take while nobody reads the output; a character takes at most two bytes. */
+    private static final int QUEUE_CHARS = 2 << 20;
+    /** Characters that are encoded and written at once. */
+    private static final int WRITE_CHARS = 65_536;
     /** Lines of this interval are written as one batch, which saves wake-ups of the writer thread. */
     private static final long BATCH_MILLIS = 50;
 
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final AtomicLong droppedCount = new AtomicLong();
+    /** Characters of the lines that wait or are being written. */
+    private final AtomicInteger queuedChars = new AtomicInteger();
+
     private final String processName;
     private final PrintStream output;
     private final Thread writer;
@@ -87,14 +95,19 @@
 
     private void dropBatch(Throwable fault) {
         droppedCount.addAndGet(batch.size());
-        batch.clear();
+        clearBatch();
         line("log_batch_dropped").text("error", fault.toString()).write();
     }
 
     private void writeBatch() {
         queue.drainTo(batch);
         StringBuilder text = new StringBuilder();
-        batch.forEach(line -> text.append(line).append('\n'));
+        for (String line : batch) {
+            text.append(line).append('\n');
+            if (text.length() >= WRITE_CHARS) {
+                writeText(text);
+            }
+        }
         long drops = droppedCount.get();
         if (drops > reportedDrops) {
             text.append(new Line("log_lines_dropped")
@@ -102,11 +115,30 @@
                             .toJson())
                     .append('\n');
         }
+        writeText(text);
+        output.flush();
+        clearBatch();
+        reportedDrops = drops;
+    }
+
+    private void writeText(StringBuilder text) {
         byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
         output.write(bytes, 0, bytes.length);
-        output.flush();
+        text.setLength(0);
+    }
+
+    private void clearBatch() {
+        batch.forEach(line -> queuedChars.addAndGet(-line.length()));
         batch.clear();
-        reportedDrops = drops;
+    }
+
+    private boolean offer(String line) {
+        int length = line.length();
+        if (queuedChars.addAndGet(length) <= QUEUE_CHARS && queue.offer(line)) {
+            return true;
+        }
+        queuedChars.addAndGet(-length);
+        return false;
     }
 
     /** Builder of one line. */
@@ -143,7 +175,7 @@
 
         /** Queues the line, or drops and counts it if the queue is full. */
         public void write() {
-            if (!queue.offer(toJson())) {
+            if (!offer(toJson())) {
                 droppedCount.incrementAndGet();
             }
         }
