Bound the series of metrics and drop those of former configurations

What operators would see: the process and its metrics page grow with each configuration that names other routes or services, and with every status that an upstream invents.

Cause: a series was kept for each route, service and status that ever occurred.

When a configuration comes into force, the series of names that it does not have are removed. Beyond 2,000 series of requests or attempts, or 250 histograms, further ones count under the name other. Requests refused before their route is known keep their series.

Evidence: GatewayMetricsTest, 1,000 configurations of 20 routes and one of 20,000; it needs the new method and was not run on the code before, which removes nothing.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardConfig.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardConfig.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.jspecify.annotations.Nullable;
 
@@ -73,6 +75,19 @@
         return services.get(name);
     }
 
+    /** Returns the names of all routes. */
+    public Set<String> routeNames() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .map(ForwardRoute::name)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the names of all services. */
+    public Set<String> serviceNames() {
+        return Set.copyOf(services.keySet());
+    }
+
     /** Returns the organisation that a key belongs to, or null. */
     public @Nullable String organisationOf(String key) {
         return organisationByKey.get(key);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/RequestAdmission.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/RequestAdmission.java
@@ -92,7 +92,7 @@
                 .number("status", reply.status())
                 .number("used_bytes", budget.usedBytes())
                 .write();
-        gateway.metrics().requestEnded("none", reply.status());
+        gateway.metrics().requestRefused(reply.status());
         exchange.closeAfterResponse();
         exchange.sendLocalReply(reply);
     }
@@ -142,7 +142,7 @@
                 .number("config_version", config == null ? 0 : config.version())
                 .number("config_age_ms", gateway.configFreshness().ageMillis())
                 .write();
-        gateway.metrics().requestEnded("none", reply.status());
+        gateway.metrics().requestRefused(reply.status());
         if (reply.retryAfterMillis() > 0) {
             exchange.closeAfterResponse();
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -3,7 +3,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Set;
 
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -12,6 +15,13 @@
 /** Counters and latency histograms of a gateway; thread-safe. */
 public final class GatewayMetrics {
     private static final double MILLIS_PER_SECOND = 1_000;
+    /** Limits the heap that the series of routes and services take, a few hundred bytes each. */
+    private static final int MAX_SERIES = 2_000;
+    /** Same for histograms, which take a few thousand bytes. */
+    private static final int MAX_HISTOGRAMS = 250;
+    /** Route of requests that were refused before their route was known. */
+    private static final String NO_ROUTE = "none";
+
     private static final double[] LATENCY_BUCKETS_SECONDS = {0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1, 1.5, 2.5, 4.5, 10, 25};
     private static final double[] PAUSE_BUCKETS_SECONDS = {0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5};
 
@@ -64,19 +74,35 @@
             .labelNames("result")
             .register(registry);
 
+    private final NamedSeries<CounterDataPoint> requestsByRoute = new NamedSeries<>(requests, MAX_SERIES);
+    private final NamedSeries<CounterDataPoint> attemptsByService = new NamedSeries<>(attempts, MAX_SERIES);
+    private final NamedSeries<DistributionDataPoint> durationByRoute = new NamedSeries<>(duration, MAX_HISTOGRAMS);
+
+    /** Removes the series of routes and services that the configuration no longer has. */
+    public void retainNames(Set<String> routes, Set<String> services) {
+        requestsByRoute.retainNames(routes);
+        durationByRoute.retainNames(routes);
+        attemptsByService.retainNames(services);
+    }
+
     /** Counts a request that has ended. */
     public void requestEnded(String route, int status) {
-        requests.labelValues(route, Integer.toString(status)).inc();
+        requestsByRoute.of(route, Integer.toString(status)).inc();
+    }
+
+    /** Counts a request that was refused before its route was known. */
+    public void requestRefused(int status) {
+        requests.labelValues(NO_ROUTE, Integer.toString(status)).inc();
     }
 
     /** Counts an attempt that has ended. */
     public void attemptEnded(String service, String result) {
-        attempts.labelValues(service, result).inc();
+        attemptsByService.of(service, result).inc();
     }
 
     /** Records the time to a complete response or a first event. */
     public void responseStarted(String route, long millis) {
-        duration.labelValues(route).observe(millis / MILLIS_PER_SECOND);
+        durationByRoute.of(route).observe(millis / MILLIS_PER_SECOND);
     }
 
     /** Records the pause of a stream that was resumed on another upstream. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -252,6 +252,7 @@
             return;
         }
         state.replaceConfig(read);
+        metrics.retainNames(read.routeNames(), read.serviceNames());
         log.line("config_in_force")
                 .number("config_version", read.version())
                 .number("store_version", change.version())
