Bound the crashes that are kept for a suspect request

Other routers report crashes, one for each upstream, and their number for one request had no bound. The latest 8 are kept, of which 6 block a request that never ran alone. A test drives the table to both bounds.

Evidence: CrashSuspectTableTest, up to 3,000 requests or 1,000 crashes of one; not run on the code before.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/CrashSuspect.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/CrashSuspect.java
@@ -1,6 +1,7 @@
 package io.laburnummoor.core.process;
 
-import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,9 +27,15 @@
      */
     public static final int BLOCKING_CRASHES_UNISOLATED = 6;
 
+    /** Limits the memory of an entry. The latest crashes are kept; they are enough to block the request. */
+    static final int MAX_CRASHES = 8;
+
     /** After crashes on this many upstreams, the next attempt runs alone. */
     static final int ISOLATION_CRASHES = 2;
 
+    private static final Comparator<CrashRecord> LATEST_FIRST =
+            Comparator.comparingLong(CrashRecord::crashedAtMillis).reversed().thenComparing(CrashRecord::upstreamId);
+
     /** Returns an entry without crashes. */
     static CrashSuspect withoutCrashes(String fingerprint) {
         return new CrashSuspect(fingerprint, List.of(), 0, 0);
@@ -71,10 +78,14 @@
         addAfter(cleared, crashes, byUpstream);
         addAfter(cleared, other.crashes, byUpstream);
         return new CrashSuspect(
-                fingerprint,
-                List.copyOf(new ArrayList<>(byUpstream.values())),
-                cleared,
-                Math.max(deadlineMillis, other.deadlineMillis));
+                fingerprint, latest(byUpstream.values()), cleared, Math.max(deadlineMillis, other.deadlineMillis));
+    }
+
+    private static List<CrashRecord> latest(Collection<CrashRecord> crashes) {
+        if (crashes.size() <= MAX_CRASHES) {
+            return List.copyOf(crashes);
+        }
+        return crashes.stream().sorted(LATEST_FIRST).limit(MAX_CRASHES).toList();
     }
 
     private static void addAfter(long clearedAtMillis, List<CrashRecord> added, Map<String, CrashRecord> byUpstream) {
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/CrashSuspectTableTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/CrashSuspectTableTest.java
@@ -105,6 +105,26 @@
                 hasItem("deadly"));
     }
 
+    /** Guards against a table that grows without end with the requests or with the upstreams that crash. */
+    @ParameterizedTest(name = "{0} requests, each with {1} crashes")
+    @CsvSource({"1, 1000", "3000, 1", "1500, 20"})
+    void theTableIsBounded(int requests, int crashes) {
+        for (int i = 0; i < requests; i++) {
+            for (int j = 0; j < crashes; j++) {
+                nowMillis++;
+                crash(table, "f-" + i, "i-" + j, nowMillis);
+            }
+        }
+        table.expire();
+        List<CrashSuspect> kept = table.latest(requests);
+
+        assertThat(kept.size(), is(Math.min(requests, CrashSuspectTable.MAX_SUSPECTS)));
+        assertThat(
+                kept.stream().mapToInt(each -> each.crashes().size()).max().orElse(0),
+                is(Math.min(crashes, CrashSuspect.MAX_CRASHES)));
+        assertThat(kept.get(0).isBlocked(), is(crashes >= CrashSuspect.BLOCKING_CRASHES_UNISOLATED));
+    }
+
     /** While the table is empty, no fingerprint is computed on the path of a request. */
     @ParameterizedTest(name = "a good end each {0} ms")
     @ValueSource(longs = {100, 10_000})
