--- a/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/process/DecisionLogTest.java
+++ b/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/process/DecisionLogTest.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.util.Arrays;
 
+import io.laburnummoor.wire.process.StopSignal;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -24,7 +25,7 @@
     @CsvSource({"10, 4096", "1000, 1900", "16000, 120", "100000, 20"})
     void waitingLinesAreBoundedInNumberAndBytes(int valueChars, int minLines) throws Exception {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
-        DecisionLog log = new DecisionLog("router-1", new PrintStream(output, true));
+        DecisionLog log = new DecisionLog("router-1", new PrintStream(output, true), StopSignal.newSupervisor());
         String value = "x".repeat(valueChars);
         for (int i = 0; i < LINES; i++) {
             log.line("test").text("value", value).write();
