--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -170,7 +170,7 @@
     }
 
     /** Returns whether a request with that id was answered on this connection, so that a second response may come. */
-    boolean hasAnswered(@Nullable String requestId) {
+    public boolean hasAnswered(@Nullable String requestId) {
         return requestId != null && answeredRequestIds.contains(requestId);
     }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CachedPrefixLookup.java
@@ -132,8 +132,9 @@
         @Override
         public void onHead(HttpResponse response) {
             UpstreamResponseHead head = context.headerCodec().decodeUpstreamResponse(response);
-            if (head.attemptId() != null) {
-                skipResponseToARequest(head.attemptId());
+            UpstreamConnection used = connection;
+            if (used != null && used.hasAnswered(head.attemptId())) {
+                skipLateResponse(used, head.attemptId());
                 return;
             }
             readable = response.status().equals(HttpResponseStatus.OK);
@@ -141,8 +142,8 @@
         }
 
         /** Skips a second response to a request that the connection has carried before, or gives up. */
-        private void skipResponseToARequest(String requestId) {
-            if (connection == null || !connection.skipLateResponse(requestId)) {
+        private void skipLateResponse(UpstreamConnection used, @Nullable String requestId) {
+            if (!used.skipLateResponse(requestId)) {
                 cancel();
                 callback.run();
             }
