--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -45,7 +45,7 @@
     private final AtomicLong heldOffUntilMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicBoolean leavingAnnounced = new AtomicBoolean();
     private final AtomicBoolean superseded = new AtomicBoolean();
-    private final AtomicReference<@Nullable ReportedLoad> reportedLoad = new AtomicReference<>();
+    private final AtomicReference<@Nullable ReceivedLoad> reportedLoad = new AtomicReference<>();
     private final Snapshot<Double> failureRate = new Snapshot<>(0.0);
     private final Snapshot<PrefixCacheContents> prefixCache = new Snapshot<>(PrefixCacheContents.UNKNOWN);
 
@@ -150,13 +150,13 @@
     }
 
     /** Records the load that the upstream reported with an answer. */
-    public void recordReportedLoad(int running, int waiting, long nowMillis) {
-        reportedLoad.set(new ReportedLoad(running, waiting, nowMillis, inFlightCount.get()));
+    public void recordReportedLoad(ReportedLoad load, long nowMillis) {
+        reportedLoad.set(new ReceivedLoad(load, nowMillis, inFlightCount.get()));
     }
 
     /** Returns the age of the last reported load, or -1 if none was reported. */
     public long reportedLoadAgeMillis(long nowMillis) {
-        ReportedLoad last = reportedLoad.get();
+        ReceivedLoad last = reportedLoad.get();
         return last == null ? -1 : nowMillis - last.receivedAtMillis;
     }
 
@@ -175,12 +175,12 @@
      * of a recent report that they do not explain.
      */
     public int estimatedLoad(long nowMillis) {
-        ReportedLoad last = reportedLoad.get();
+        ReceivedLoad last = reportedLoad.get();
         int own = inFlightCount.get();
         if (last == null || nowMillis - last.receivedAtMillis > LOAD_VALID_MILLIS) {
             return own;
         }
-        return own + Math.max(0, last.running + last.waiting - last.inFlightCountAtReport);
+        return own + Math.max(0, last.load.running() + last.load.waiting() - last.inFlightCountAtReport);
     }
 
     /** Records which prompt parts the upstream reports in its prefix cache. */
@@ -294,5 +294,5 @@
         return failureRate.get();
     }
 
-    private record ReportedLoad(int running, int waiting, long receivedAtMillis, int inFlightCountAtReport) {}
+    private record ReceivedLoad(ReportedLoad load, long receivedAtMillis, int inFlightCountAtReport) {}
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardConfig.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardConfig.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import io.laburnummoor.core.request.Urgency;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,17 +29,22 @@
     private final Map<String, String> organisationByKey;
     private final boolean keysRequired;
     private final CallerLimits limits;
+    private final Map<String, ForwardRoute> routesByName = new HashMap<>();
+    private final Map<String, Urgency> urgencyByOrganisation;
+    private final Set<String> servicesWithUrgencies;
 
     /**
      * Creates a configuration.
      *
      * @param organisationByKey names of organisations by their keys, or null if requests need no key
+     * @param urgencyByOrganisation urgency of the organisations for which one is declared; goes before that of a route
      */
     public ForwardConfig(
             long version,
             List<ForwardRoute> routes,
             List<ForwardService> services,
             @Nullable Map<String, String> organisationByKey,
+            Map<String, Urgency> urgencyByOrganisation,
             CallerLimits limits) {
         this.version = version;
         this.routesByHost = new HashMap<>();
@@ -53,6 +60,47 @@
         this.organisationByKey = organisationByKey == null ? Map.of() : Map.copyOf(organisationByKey);
         this.keysRequired = organisationByKey != null;
         this.limits = limits;
+        routes.forEach(each -> routesByName.put(each.name(), each));
+        this.urgencyByOrganisation = Map.copyOf(urgencyByOrganisation);
+        this.servicesWithUrgencies = findServicesWithUrgencies(routes);
+    }
+
+    private Set<String> findServicesWithUrgencies(List<ForwardRoute> routes) {
+        Map<String, Set<Urgency>> urgenciesByService = new HashMap<>();
+        Set<String> organisations = new HashSet<>(organisationByKey.values());
+        for (ForwardRoute route : routes) {
+            Set<Urgency> urgencies = new HashSet<>();
+            organisations.forEach(each -> urgencies.add(urgencyOf(route, each)));
+            if (organisations.isEmpty() || route.anonymous()) {
+                urgencies.add(urgencyOf(route, null));
+            }
+            route.targets().forEach(target -> urgenciesByService
+                    .computeIfAbsent(target.service(), added -> new HashSet<>())
+                    .addAll(urgencies));
+        }
+        return urgenciesByService.entrySet().stream()
+                .filter(each -> each.getValue().size() > 1)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * Returns the urgency of a request by this configuration.
+     *
+     * @param route route of the request in this version or in an earlier one, which counts if this one has it no more
+     * @param organisation organisation of the caller, or null
+     */
+    public Urgency urgencyOf(ForwardRoute route, @Nullable String organisation) {
+        Urgency declared = organisation == null ? null : urgencyByOrganisation.get(organisation);
+        if (declared == null) {
+            declared = routesByName.getOrDefault(route.name(), route).urgency();
+        }
+        return declared == null ? Urgency.DEFAULT : declared;
+    }
+
+    /** Returns whether requests of a service may differ in urgency. */
+    public boolean differentiatesUrgency(String service) {
+        return servicesWithUrgencies.contains(service);
     }
 
     /** Returns the operator's version number. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardRoute.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardRoute.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import io.laburnummoor.core.request.RetryPolicy;
+import io.laburnummoor.core.request.Urgency;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One declared route for requests that are forwarded without interpreting their bodies.
@@ -18,6 +20,7 @@
  * @param anonymous whether requests are accepted without a key
  * @param targets services that receive the requests, with their weights
  * @param eventGapTargetMillis target for the longest pause between two events of an answer; 0 if none is declared
+ * @param urgency urgency of the requests, or null if none is declared
  */
 public record ForwardRoute(
         String name,
@@ -30,7 +33,8 @@
         int maxUpstreams,
         boolean anonymous,
         List<Target> targets,
-        long eventGapTargetMillis) {
+        long eventGapTargetMillis,
+        @Nullable Urgency urgency) {
     /** Copies the targets. */
     public ForwardRoute {
         targets = List.copyOf(targets);
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/InstanceStateTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/connection/InstanceStateTest.java
@@ -33,7 +33,7 @@
     @CsvSource({"5, 0, 6", "5, 1500, 6", "5, 1501, 2", "0, 0, 2"})
     void staleReportedLoadIsIgnored(int running, long ageMillis, int expected) {
         state.requestStarted(100);
-        state.recordReportedLoad(running, 0, 1_000);
+        state.recordReportedLoad(new ReportedLoad(running, 0), 1_000);
         state.requestStarted(100);
 
         assertThat(state.estimatedLoad(1_000 + ageMillis), is(expected));
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/DrainPolicyTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/DrainPolicyTest.java
@@ -44,7 +44,8 @@
                 1,
                 false,
                 List.of(new ForwardRoute.Target("desk", 1)),
-                0);
+                0,
+                null);
 
         assertThat(DrainPolicy.accepts(route, sinceStopMillis, 8_000, streamMillis), is(accepted));
     }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceSelectorTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/InstanceSelectorTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.Stream;
 
 import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.ReportedLoad;
 import io.laburnummoor.core.connection.UpstreamInstance;
 import io.laburnummoor.core.request.PromptPart;
 import io.laburnummoor.core.version.ForwardService;
@@ -53,7 +54,7 @@
                 handicap("leaves", state -> state.recordLeaving()),
                 handicap("wants no requests", state -> state.holdOffUntil(NOW + 1)),
                 handicap("has prompts to prefill", state -> state.requestStarted(8_000)),
-                handicap("told load", state -> state.recordReportedLoad(6, 2, NOW)),
+                handicap("told load", state -> state.recordReportedLoad(new ReportedLoad(6, 2), NOW)),
                 handicap("told errors", state -> {
                     state.recordError();
                     state.recordError();
@@ -148,7 +149,7 @@
     void anUpstreamWithACachedPrefixIsPreferred(
             String name, Set<String> cached, int running, long reportedAtMillis, boolean preferred) {
         List<PromptPart> prompt = List.of(new PromptPart("m/shared", 200), new PromptPart("m/own", 8_000));
-        sapporo.recordReportedLoad(running, 0, NOW);
+        sapporo.recordReportedLoad(new ReportedLoad(running, 0), NOW);
         sapporo.recordPrefixCache(cached, reportedAtMillis);
 
         InstanceState selected =
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/SimultaneousSelectionTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/SimultaneousSelectionTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.ReportedLoad;
 import io.laburnummoor.core.connection.UpstreamInstance;
 import io.laburnummoor.core.request.PromptPart;
 import io.laburnummoor.core.version.ForwardService;
@@ -70,7 +71,7 @@
         for (int i = 0; i < running.size(); i++) {
             InstanceState state = new InstanceState(new UpstreamInstance(
                     "i-" + round + "-" + i, "drafter", "domain-" + i % 5, "10.0.0." + i, 80, "v1", 12, false, 0, 1, 1));
-            state.recordReportedLoad(running.get(i), 0, NOW);
+            state.recordReportedLoad(new ReportedLoad(running.get(i), 0), NOW);
             states.add(state);
         }
         return new InstanceTable(states);
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/request/RequestAuthorizerTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/request/RequestAuthorizerTest.java
@@ -29,6 +29,7 @@
                     route("open", "/open/", "a", true)),
             List.of(),
             Map.of("key-1", "niseko-park"),
+            Map.of(),
             CallerLimits.DEFAULT);
 
     private static ForwardRoute route(String name, String prefix, String service, boolean anonymous) {
@@ -43,7 +44,8 @@
                 2,
                 anonymous,
                 List.of(new ForwardRoute.Target(service, 1)),
-                0);
+                0,
+                null);
     }
 
     static Stream<Arguments> requests() {
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -254,7 +254,8 @@
                 lastEventId,
                 request.body().readableBytes(),
                 backup == null ? null : backup.instance(),
-                attempt.resumesFromBackup() ? instance.address() : null);
+                attempt.resumesFromBackup() ? instance.address() : null,
+                null);
         // Before the body is retained, which a failure would not release.
         HttpHeaders headers = context.headerCodec().encodeUpstreamRequest(request.headers(), requestHead);
         return new DefaultFullHttpRequest(
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamNotices.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamNotices.java
@@ -1,6 +1,7 @@
 package io.laburnummoor.gateway.request;
 
 import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.ReportedLoad;
 import io.laburnummoor.gateway.process.DecisionLog;
 
 /** Records what an upstream says about itself in the head of a response. */
@@ -12,9 +13,9 @@
         if (head.wrongIncarnation()) {
             return;
         }
-        UpstreamResponseHead.Load load = head.load();
+        ReportedLoad load = head.load();
         if (load != null) {
-            upstream.recordReportedLoad(load.running(), load.waiting(), nowMillis);
+            upstream.recordReportedLoad(load, nowMillis);
         }
         if (head.holdOffMillis() > 0) {
             upstream.holdOffUntil(nowMillis + head.holdOffMillis());
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamRequestHead.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamRequestHead.java
@@ -1,6 +1,7 @@
 package io.laburnummoor.gateway.request;
 
 import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.request.Urgency;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,6 +15,7 @@
  * @param bodyBytes size of the body
  * @param backup upstream that is to hold the KV-cache backup of the run, or null
  * @param resumeFrom address of the upstream whose KV-cache backup the run resumes from, or null
+ * @param urgency urgency of the request, or null if all requests of the service are equally urgent
  */
 public record UpstreamRequestHead(
         String attemptId,
@@ -23,4 +25,5 @@
         long lastEventId,
         int bodyBytes,
         @Nullable UpstreamInstance backup,
-        @Nullable String resumeFrom) {}
+        @Nullable String resumeFrom,
+        @Nullable Urgency urgency) {}
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamResponseHead.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamResponseHead.java
@@ -1,5 +1,6 @@
 package io.laburnummoor.gateway.request;
 
+import io.laburnummoor.core.connection.ReportedLoad;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,18 +27,10 @@
         boolean leaving,
         long holdOffMillis,
         boolean contentEncoded,
-        @Nullable Load load,
+        @Nullable ReportedLoad load,
         int keepAliveSeconds) {
     /** Returns whether the status is a 2xx one. */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
     }
-
-    /**
-     * Load that an upstream reports with a response.
-     *
-     * @param running number of running requests
-     * @param waiting number of waiting requests
-     */
-    public record Load(int running, int waiting) {}
 }
