Decide in core which urgency an attempt states

ForwardConfig.statedUrgency returns the urgency only if two requests of the service may differ in it, so that nothing changes for services without an order. A target with weight 0 no longer counts, since it receives no request. Routes that share a name were mistaken for each other: the last one's urgency applied to all of them; such a route now keeps its own.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardConfig.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardConfig.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import io.laburnummoor.core.request.Urgency;
@@ -29,7 +30,7 @@
     private final Map<String, String> organisationByKey;
     private final boolean keysRequired;
     private final CallerLimits limits;
-    private final Map<String, ForwardRoute> routesByName = new HashMap<>();
+    private final Map<String, ForwardRoute> routesByName;
     private final Map<String, Urgency> urgencyByOrganisation;
     private final Set<String> servicesWithUrgencies;
 
@@ -60,11 +61,21 @@
         this.organisationByKey = organisationByKey == null ? Map.of() : Map.copyOf(organisationByKey);
         this.keysRequired = organisationByKey != null;
         this.limits = limits;
-        routes.forEach(each -> routesByName.put(each.name(), each));
+        this.routesByName = findRoutesByUniqueName(routes);
         this.urgencyByOrganisation = Map.copyOf(urgencyByOrganisation);
         this.servicesWithUrgencies = findServicesWithUrgencies(routes);
     }
 
+    /** Leaves out routes that share a name, which does not tell them apart. */
+    private static Map<String, ForwardRoute> findRoutesByUniqueName(List<ForwardRoute> routes) {
+        Map<String, List<ForwardRoute>> routesByName =
+                routes.stream().collect(Collectors.groupingBy(ForwardRoute::name));
+        return routesByName.values().stream()
+                .filter(each -> each.size() == 1)
+                .map(each -> each.get(0))
+                .collect(Collectors.toMap(ForwardRoute::name, Function.identity()));
+    }
+
     private Set<String> findServicesWithUrgencies(List<ForwardRoute> routes) {
         Map<String, Set<Urgency>> urgenciesByService = new HashMap<>();
         Set<String> organisations = new HashSet<>(organisationByKey.values());
@@ -74,8 +85,8 @@
             if (organisations.isEmpty() || route.anonymous()) {
                 urgencies.add(urgencyOf(route, null));
             }
-            route.targets().forEach(target -> urgenciesByService
-                    .computeIfAbsent(target.service(), added -> new HashSet<>())
+            route.receivingServices().forEach(service -> urgenciesByService
+                    .computeIfAbsent(service, added -> new HashSet<>())
                     .addAll(urgencies));
         }
         return urgenciesByService.entrySet().stream()
@@ -103,6 +114,16 @@
         return servicesWithUrgencies.contains(service);
     }
 
+    /**
+     * Returns the urgency that an attempt states to its upstream, or null if all requests of the service are equally
+     * urgent.
+     *
+     * @param route as for {@link #urgencyOf}
+     */
+    public @Nullable Urgency statedUrgency(ForwardRoute route, String service, @Nullable String organisation) {
+        return differentiatesUrgency(service) ? urgencyOf(route, organisation) : null;
+    }
+
     /** Returns the operator's version number. */
     public long version() {
         return version;
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardRoute.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardRoute.java
@@ -1,6 +1,8 @@
 package io.laburnummoor.core.version;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.laburnummoor.core.request.RetryPolicy;
 import io.laburnummoor.core.request.Urgency;
@@ -60,6 +62,15 @@
         return targets.get(targets.size() - 1).service();
     }
 
+    /** Returns the services that {@link #selectService} may return. */
+    public Set<String> receivingServices() {
+        Set<String> weighted = targets.stream()
+                .filter(each -> each.weight() > 0)
+                .map(Target::service)
+                .collect(Collectors.toSet());
+        return weighted.isEmpty() ? Set.of(selectService(0)) : weighted;
+    }
+
     /**
      * A service that receives a share of a route's requests.
      *
