State the urgency of requests to upstreams and log it

Each attempt states the urgency by the configuration in force when it is sent, so that a change applies to the next attempt of a running request. upstream_chosen and request_ended have the urgency where requests of the service differ in it, and so has bin/explain.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -39,6 +39,7 @@
     private final ForwardRequest request;
     private final ForwardRoute route;
     private final ForwardService service;
+    private final RequestUrgency urgency;
     private final Set<String> excludedIds = new HashSet<>();
     private final double versionDraw = ThreadLocalRandom.current().nextDouble();
 
@@ -53,6 +54,7 @@
         this.request = request;
         this.route = route;
         this.service = service;
+        this.urgency = new RequestUrgency(context, request, route, service.name());
     }
 
     /** Returns whether engines are asked for their cached prefixes before the first upstream is selected. */
@@ -255,7 +257,7 @@
                 request.body().readableBytes(),
                 backup == null ? null : backup.instance(),
                 attempt.resumesFromBackup() ? instance.address() : null,
-                null);
+                urgency.inForce());
         // Before the body is retained, which a failure would not release.
         HttpHeaders headers = context.headerCodec().encodeUpstreamRequest(request.headers(), requestHead);
         return new DefaultFullHttpRequest(
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -8,7 +8,9 @@
 import io.laburnummoor.core.request.AttemptHistory;
 import io.laburnummoor.core.request.AttemptStatus;
 import io.laburnummoor.core.request.PromptPart;
+import io.laburnummoor.core.request.Urgency;
 import io.laburnummoor.core.version.ForwardRoute;
+import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewayContext;
 import org.jspecify.annotations.Nullable;
 
@@ -21,6 +23,7 @@
     private final ForwardRequest request;
     private final ForwardRoute route;
     private final String service;
+    private final RequestUrgency urgency;
     private @Nullable Attempt answeredBy;
 
     RequestTrace(GatewayContext context, ForwardRequest request, ForwardRoute route, String service) {
@@ -28,6 +31,7 @@
         this.request = request;
         this.route = route;
         this.service = service;
+        this.urgency = new RequestUrgency(context, request, route, service);
     }
 
     void upstreamSelected(Attempt attempt, String reason, long afterEvent) {
@@ -35,9 +39,7 @@
         UpstreamInstance instance = target.instance();
         InstanceState backup = attempt.backup();
         long now = now();
-        context.log()
-                .line("upstream_chosen")
-                .text("request", request.id())
+        lineWithUrgency("upstream_chosen")
                 .text("reason", reason)
                 .text("upstream", instance.id())
                 .text("failure_domain", instance.failureDomain())
@@ -159,9 +161,7 @@
             context.metrics().callerGone(history.wasSent());
         }
         Attempt answer = answeredBy;
-        context.log()
-                .line("request_ended")
-                .text("request", request.id())
+        lineWithUrgency("request_ended")
                 .text("route", route.name())
                 .text("organisation", request.organisation())
                 .text("outcome", outcome)
@@ -176,6 +176,13 @@
                 .write();
     }
 
+    /** Starts a line that has the urgency if requests of the service differ in it. */
+    private DecisionLog.Line lineWithUrgency(String event) {
+        DecisionLog.Line line = context.log().line(event).text("request", request.id());
+        Urgency inForce = urgency.inForce();
+        return inForce == null ? line : line.number("urgency", inForce.level());
+    }
+
     private long now() {
         return context.clock().nowMillis();
     }
--- a/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/process/RequestTimelineTest.java
+++ b/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/process/RequestTimelineTest.java
@@ -59,6 +59,18 @@
         assertThat(timeline.events().get(1).sinceStartMillis(), is(Math.abs(atMillis - 1_005)));
     }
 
+    /** Without the urgency of each attempt, nobody can tell why an engine let others go first. */
+    @ParameterizedTest(name = "{0}")
+    @ValueSource(strings = {"upstream_chosen", "request_ended"})
+    void showsTheUrgencyOfAttempts(String event) throws IOException {
+        RequestTimeline timeline =
+                read("r-1", "{\"at_ms\":900,\"event\":\"" + event + "\",\"request\":\"r-1\",\"urgency\":0}");
+
+        assertThat(timeline.lines().get(0), containsString(event + " "));
+        assertThat(timeline.lines().get(0), containsString(" urgency=0"));
+        assertThat(TimelinePage.of(timeline), containsString("urgency=0"));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"<script>", "a & b", "plain"})
     void pageEscapesFieldValues(String value) throws IOException {
