--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/ScenarioCommand.java
@@ -22,6 +22,7 @@
             Map.entry("exchange", new ExchangeScenario()),
             Map.entry("kv-outage", new KvOutageScenario()),
             Map.entry("overload", new OverloadScenario()),
+            Map.entry("placement", new PlacementScenario()),
             Map.entry("racing-operators", new RacingOperatorsScenario()),
             Map.entry("resume", new ResumeScenario()),
             Map.entry("rollout-bad", new RolloutScenario(false)),
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -37,6 +37,8 @@
     private final AtomicInteger inFlightCount = new AtomicInteger();
     private final AtomicLong kvCacheTokens = new AtomicLong();
     private final AtomicLong prefillTokens = new AtomicLong();
+    private final AtomicLong longPrefillTokens = new AtomicLong();
+    private final UpstreamPace pace = new UpstreamPace();
     private final AtomicInteger consecutiveFailures = new AtomicInteger();
     private final AtomicLong ejectedUntilMillis = new AtomicLong(NEVER_MILLIS);
     private final AtomicLong fullUntilMillis = new AtomicLong(NEVER_MILLIS);
@@ -121,6 +123,16 @@
         kvCacheTokens.addAndGet(-tokens);
     }
 
+    /** Adds the tokens of a long prompt to those of long prompts in prefill; negative to remove them. */
+    public void addLongPrefillTokens(long tokens) {
+        longPrefillTokens.addAndGet(tokens);
+    }
+
+    /** Returns whether a long prompt of this router is in prefill on the upstream. */
+    public boolean prefillsLongPrompt() {
+        return longPrefillTokens.get() > 0;
+    }
+
     /** Adds the tokens of a KV-cache backup that this upstream stores for another one; negative to remove them. */
     public void addBackupTokens(long tokens) {
         kvCacheTokens.addAndGet(tokens);
@@ -146,12 +158,26 @@
 
     /** Returns the load that this router puts on the upstream. */
     public UpstreamLoad ownLoad() {
-        return new UpstreamLoad(inFlightCount.get(), prefillTokens.get(), kvCacheTokens.get());
+        return new UpstreamLoad(inFlightCount.get(), prefillTokens.get(), kvCacheTokens.get(), longPrefillTokens.get());
     }
 
     /** Records the load that the upstream reported with an answer. */
     public void recordReportedLoad(ReportedLoad load, long nowMillis) {
         reportedLoad.set(new ReceivedLoad(load, nowMillis, inFlightCount.get()));
+        if (load.pacePercent() > 0) {
+            pace.recordReport(load.pacePercent(), nowMillis);
+        }
+    }
+
+    /** Returns how long work takes on the upstream. */
+    public UpstreamPace pace() {
+        return pace;
+    }
+
+    /** Returns the number of slots by the upstream's last report, else by its entry; 0 if unknown. */
+    public int slots() {
+        ReceivedLoad last = reportedLoad.get();
+        return last == null || last.load.slots() == 0 ? instance.get().slots() : last.load.slots();
     }
 
     /** Returns the age of the last reported load, or -1 if none was reported. */
@@ -183,6 +209,23 @@
         return own + Math.max(0, last.load.running() + last.load.waiting() - last.inFlightCountAtReport);
     }
 
+    /**
+     * Returns the estimated number of requests as {@link #estimatedLoad(long)} does, but of the reported requests only
+     * those that have not ended meanwhile. Answers short calls at long intervals: a report that is older than many
+     * calls says little about the present.
+     *
+     * @param residenceMillis time that a request usually stays on the upstream
+     */
+    public double estimatedLoad(long nowMillis, double residenceMillis) {
+        ReceivedLoad last = reportedLoad.get();
+        int own = inFlightCount.get();
+        if (last == null || nowMillis - last.receivedAtMillis > LOAD_VALID_MILLIS) {
+            return own;
+        }
+        int others = Math.max(0, last.load.running() + last.load.waiting() - last.inFlightCountAtReport);
+        return own + others * Math.exp(-Math.max(0, nowMillis - last.receivedAtMillis) / residenceMillis);
+    }
+
     /** Records which prompt parts the upstream reports in its prefix cache. */
     public void recordPrefixCache(Set<String> keys, long nowMillis) {
         prefixCache.replace(new PrefixCacheContents(keys, nowMillis));
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTimePolicy.java
@@ -0,0 +1,81 @@
+package io.laburnummoor.core.process;
+
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.version.ForwardService;
+
+/**
+ * Rates upstreams by the expected time to the first event. Answers upstreams that differ in speed, also for fractions
+ * of a second, and requests that differ in urgency.
+ *
+ * <p>Many routers see the same fastest upstream, so it is chosen only with a probability: upstreams whose expected time
+ * is higher by less than the tolerance share the requests. The tolerance is the time that a wrong choice may cost, an
+ * eighth of the goal, but at most half of the expected time itself. After a loss, many routers select at the same
+ * moment, and each may find one more prompt ahead than it knows of; the tolerance is then the time of one prompt.
+ */
+final class ExpectedTimePolicy implements PlacementPolicy {
+    private static final double GOAL_FRACTION = 0.125;
+    private static final double MIN_TOLERANCE = 0.1;
+    private static final double MAX_TOLERANCE = 0.5;
+    /** Tolerance of a request whose goal is not known. */
+    private static final double USUAL_TOLERANCE = 0.25;
+    /** One request on an upstream without a known number of slots, in the unit of the cost. */
+    private static final int USUAL_SLOTS = 6;
+
+    private final ExpectedTime expectedTime;
+
+    ExpectedTimePolicy(ExpectedTime expectedTime) {
+        this.expectedTime = expectedTime;
+    }
+
+    @Override
+    public double cost(InstanceState upstream, InstanceSelector.Criteria criteria, long nowMillis) {
+        RequestWork work = criteria.work();
+        long cached = criteria.prompt().isEmpty() ? 0 : upstream.cachedPrefixTokens(criteria.prompt(), nowMillis);
+        long tokensToPrefill = Math.max(0, work.promptTokens() - cached);
+        return expectedTime
+                        .of(upstream, criteria.service(), work, tokensToPrefill, nowMillis)
+                        .firstEventMillis()
+                / unitMillis(criteria.service());
+    }
+
+    @Override
+    public double spread(InstanceState upstream, InstanceSelector.Criteria criteria) {
+        return 0;
+    }
+
+    /** Waiting for KV cache is part of the expected time. */
+    @Override
+    public double fullCost() {
+        return 0;
+    }
+
+    /** Cached prompt parts shorten the expected time. */
+    @Override
+    public double cachedPrefixValue(InstanceState upstream, InstanceSelector.Criteria criteria, long nowMillis) {
+        return 0;
+    }
+
+    @Override
+    public double tolerance(double bestCost, InstanceSelector.Criteria criteria) {
+        RequestWork work = criteria.work();
+        double unitMillis = unitMillis(criteria.service());
+        double best = Math.abs(bestCost);
+        double tolerance = work.goalMillis() == 0
+                ? USUAL_TOLERANCE * best
+                : Math.max(
+                        MIN_TOLERANCE * best,
+                        Math.min(MAX_TOLERANCE * best, GOAL_FRACTION * work.goalMillis() / unitMillis));
+        if (criteria.afterLoss() && criteria.service().isEngine()) {
+            double prompt = expectedTime.prefillMillis(criteria.service().name(), work.promptTokens()) / unitMillis;
+            return Math.max(tolerance, prompt);
+        }
+        return tolerance;
+    }
+
+    /** Returns the time that counts as one running request beside failures and failure domains. */
+    private double unitMillis(ForwardService service) {
+        return service.isEngine()
+                ? expectedTime.prefillMillis(service.name(), (long) RequestCountPolicy.PREFILL_TOKENS_PER_REQUEST)
+                : expectedTime.callMillis(service.name()) / USUAL_SLOTS;
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
@@ -16,18 +16,9 @@
  * generation: the one with the lowest score, in units of one running request. Used by the event loops concurrently.
  */
 public final class InstanceSelector {
-    /** Tokens to prefill that weigh as much as one running request: they delay all generations of the engine. */
-    private static final double PREFILL_TOKENS_PER_REQUEST = 2_000;
-
     /** Tokens in the KV cache that weigh as much as one running request in the selection of a backup. */
     private static final double KV_CACHE_TOKENS_PER_REQUEST = 8_000;
 
-    /**
-     * Weight of a full engine in a selection after a loss; it grows with the square of the occupancy, so that engines
-     * with few generations count as equal and simultaneous selections of several routers spread over them.
-     */
-    private static final double OCCUPANCY_WEIGHT = 8;
-
     private static final double SUSPECT_DOMAIN_PENALTY = 100;
     /** An ejected upstream is the last resort: it may have recovered, and refusing the request is no better. */
     private static final double EJECTED_PENALTY = 1_000;
@@ -37,22 +28,17 @@
     private static final double FAILURE_RATE_PENALTY = 20;
     /** Less than one request, so that it decides only between upstreams of equal load. */
     private static final double OTHER_DOMAIN_PENALTY = 0.2;
-    /** Spreads the selections of routers that do not see each other's requests over different upstreams. */
-    private static final double ROUTER_SPREAD = 0.9;
-    /**
-     * Temperature of the spread after a loss: a router prefers an engine to another one with a probability that falls
-     * by a factor of e for each such difference of their loads. Small beside the weight of a prompt to prefill.
-     */
-    private static final double WIDE_SPREAD = 0.4;
 
     /** Draw that selects the old version unless the new one has all traffic. */
     private static final double OLD_VERSION_DRAW = Math.nextDown(1.0);
 
-    private final long routerHash;
     private final String failureDomain;
     private final DomainOutageDetector domainOutages;
     private final PeerLoads peerLoads;
     private final OrderedRollouts rollouts;
+    private final ExpectedTime expectedTime;
+    private final PlacementPolicy requestCountPolicy;
+    private final PlacementPolicy expectedTimePolicy;
 
     /** Creates the selector of one router. */
     public InstanceSelector(
@@ -61,11 +47,34 @@
             DomainOutageDetector domainOutages,
             PeerLoads peerLoads,
             OrderedRollouts rollouts) {
-        this.routerHash = RendezvousHash.hash(routerName);
         this.failureDomain = failureDomain;
         this.domainOutages = domainOutages;
         this.peerLoads = peerLoads;
         this.rollouts = rollouts;
+        this.expectedTime = new ExpectedTime(peerLoads);
+        this.requestCountPolicy = new RequestCountPolicy(routerName, peerLoads);
+        this.expectedTimePolicy = new ExpectedTimePolicy(expectedTime);
+    }
+
+    /** Returns the estimator of the time that requests take. */
+    public ExpectedTime expectedTime() {
+        return expectedTime;
+    }
+
+    /**
+     * Returns whether the expected time decides on the upstreams of a service: as soon as one of them has reported its
+     * pace, or if the configuration differentiates urgency for it.
+     */
+    public boolean usesExpectedTime(List<InstanceState> upstreams, boolean urgencyDiffers) {
+        if (urgencyDiffers) {
+            return true;
+        }
+        for (InstanceState each : upstreams) {
+            if (each.pace().isReported()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -90,16 +99,19 @@
 
     private @Nullable InstanceState selectAllowed(
             InstanceTable table, Criteria criteria, Predicate<UpstreamInstance> allowed, long nowMillis) {
+        List<InstanceState> upstreams = table.ofService(criteria.service.name());
+        PlacementPolicy policy =
+                usesExpectedTime(upstreams, criteria.work.urgencyDiffers()) ? expectedTimePolicy : requestCountPolicy;
         long promptTokens = criteria.promptTokens();
-        return selectLowest(
-                table.ofService(criteria.service.name()),
-                Double.POSITIVE_INFINITY,
-                each -> each.acceptsRequests(nowMillis)
-                        && !criteria.excludedIds.contains(each.instance().id())
-                        && allowed.test(each.instance()),
-                each -> score(each, criteria.service, criteria.afterLoss, nowMillis)
-                        + (hasCapacity(each, criteria.service, promptTokens) ? 0 : FULL_PENALTY)
-                        - each.cachedPrefixTokens(criteria.prompt, nowMillis) / PREFILL_TOKENS_PER_REQUEST);
+        Predicate<InstanceState> eligible = each -> each.acceptsRequests(nowMillis)
+                && !criteria.excludedIds.contains(each.instance().id())
+                && allowed.test(each.instance());
+        ToDoubleFunction<InstanceState> score = each -> score(each, policy, criteria, nowMillis)
+                + (hasCapacity(each, criteria.service, promptTokens) ? 0 : policy.fullCost())
+                - policy.cachedPrefixValue(each, criteria, nowMillis);
+        return policy == expectedTimePolicy
+                ? selectNearLowest(upstreams, policy, criteria, eligible, score)
+                : selectLowest(upstreams, Double.POSITIVE_INFINITY, eligible, score);
     }
 
     /** Returns the prompt tokens of all routers' requests that an upstream still has to prefill, as far as known. */
@@ -113,6 +125,7 @@
      */
     public @Nullable InstanceState selectBackup(
             InstanceTable table, ForwardService service, UpstreamInstance primary, long tokens, long nowMillis) {
+        Criteria criteria = new Criteria(service, Set.of(), List.of(), OLD_VERSION_DRAW, false);
         return selectLowest(
                 table.ofService(service.name()),
                 EJECTED_PENALTY,
@@ -120,7 +133,7 @@
                         && !each.instance().failureDomain().equals(primary.failureDomain())
                         && each.instance().version().equals(primary.version())
                         && hasCapacity(each, service, tokens),
-                each -> score(each, service, false, nowMillis)
+                each -> score(each, requestCountPolicy, criteria, nowMillis)
                         + totalKvCacheTokens(each) / KV_CACHE_TOKENS_PER_REQUEST);
     }
 
@@ -150,44 +163,55 @@
         return best;
     }
 
-    private double score(InstanceState each, ForwardService service, boolean afterLoss, long nowMillis) {
+    /**
+     * Returns one of the eligible upstreams whose score is near the lowest, or null if none is eligible. The
+     * probability of an upstream falls linearly from the lowest score to the tolerance above it.
+     */
+    private static @Nullable InstanceState selectNearLowest(
+            List<InstanceState> candidates,
+            PlacementPolicy policy,
+            Criteria criteria,
+            Predicate<InstanceState> eligible,
+            ToDoubleFunction<InstanceState> score) {
+        double[] scores = new double[candidates.size()];
+        double lowest = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < scores.length; i++) {
+            InstanceState each = candidates.get(i);
+            scores[i] = eligible.test(each) ? score.applyAsDouble(each) : Double.POSITIVE_INFINITY;
+            lowest = Math.min(lowest, scores[i]);
+        }
+        if (lowest == Double.POSITIVE_INFINITY) {
+            return null;
+        }
+        double limit = lowest + Math.max(Double.MIN_NORMAL, policy.tolerance(lowest, criteria));
+        double total = 0;
+        for (double each : scores) {
+            total += Math.max(0, limit - each);
+        }
+        double remaining = criteria.work.draw() * total;
+        InstanceState best = null;
+        for (int i = 0; i < scores.length; i++) {
+            remaining -= Math.max(0, limit - scores[i]);
+            if (remaining < 0) {
+                return candidates.get(i);
+            }
+            best = scores[i] == lowest ? candidates.get(i) : best;
+        }
+        // Reached only by rounding.
+        return best;
+    }
+
+    private double score(InstanceState each, PlacementPolicy policy, Criteria criteria, long nowMillis) {
         UpstreamInstance instance = each.instance();
-        boolean spreadWidely = afterLoss && service.isEngine();
-        double score = spreadWidely ? occupancyLoad(each, service, nowMillis) : requestCount(each, nowMillis);
-        score += service.isEngine() ? totalPrefillTokens(each) / PREFILL_TOKENS_PER_REQUEST : 0;
+        double score = policy.cost(each, criteria, nowMillis);
         score += each.failureRate() * FAILURE_RATE_PENALTY;
         score += each.isEjected(nowMillis) ? EJECTED_PENALTY : 0;
         score += each.isFull(nowMillis) ? FULL_PENALTY : 0;
-        score += domainOutages.isSuspect(service.name(), instance.failureDomain(), nowMillis)
+        score += domainOutages.isSuspect(criteria.service.name(), instance.failureDomain(), nowMillis)
                 ? SUSPECT_DOMAIN_PENALTY
                 : 0;
         score += instance.failureDomain().equals(failureDomain) ? 0 : OTHER_DOMAIN_PENALTY;
-        double rank = RendezvousHash.toUnitInterval(RendezvousHash.weight(routerHash, each.idHash()));
-        return score + (spreadWidely ? wideSpread(rank) : ROUTER_SPREAD * rank);
-    }
-
-    /**
-     * Returns the spread after a loss by the rank of an engine for this router. The Gumbel distribution keeps the
-     * selections of many routers proportional to the engines' weights, whereas evenly distributed ranks would leave
-     * only the few engines with the very lowest load.
-     */
-    private static double wideSpread(double rank) {
-        double positive = Math.max(rank, Double.MIN_NORMAL);
-        return WIDE_SPREAD * Math.log(-Math.log(positive));
-    }
-
-    private int requestCount(InstanceState each, long nowMillis) {
-        int known = each.inFlightCount() + peerLoads.of(each.instance().id()).inFlight();
-        return Math.max(each.estimatedLoad(nowMillis), known);
-    }
-
-    private double occupancyLoad(InstanceState each, ForwardService service, long nowMillis) {
-        double occupancy = (double) requestCount(each, nowMillis)
-                / Math.max(1, each.instance().slots());
-        if (service.kvCacheTokens() > 0) {
-            occupancy = Math.max(occupancy, (double) totalKvCacheTokens(each) / service.kvCacheTokens());
-        }
-        return OCCUPANCY_WEIGHT * occupancy * occupancy;
+        return score + policy.spread(each, criteria);
     }
 
     /**
@@ -198,13 +222,25 @@
      * @param prompt parts of a generation's prompt, empty for other requests
      * @param versionDraw random number from 0 to 1 that selects the version during a rollout
      * @param afterLoss whether an earlier attempt was lost, so that other routers may select at the same moment
+     * @param work size and goal of the request
      */
     public record Criteria(
             ForwardService service,
             Set<String> excludedIds,
             List<PromptPart> prompt,
             double versionDraw,
-            boolean afterLoss) {
+            boolean afterLoss,
+            RequestWork work) {
+        /** Creates criteria for a request of whose size and goal nothing is known. */
+        public Criteria(
+                ForwardService service,
+                Set<String> excludedIds,
+                List<PromptPart> prompt,
+                double versionDraw,
+                boolean afterLoss) {
+            this(service, excludedIds, prompt, versionDraw, afterLoss, RequestWork.UNKNOWN);
+        }
+
         /** Returns the length of the prompt in tokens. */
         long promptTokens() {
             return prompt.stream().mapToLong(PromptPart::tokens).sum();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceTable.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 
 import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.ReportedPace;
 
 /**
  * Immutable table of the upstream incarnations known to a gateway, replaced as a whole when the platform's list
@@ -17,6 +18,7 @@
 
     private final List<InstanceState> all;
     private final Map<String, List<InstanceState>> byService = new HashMap<>();
+    private final Map<String, List<InstanceState>> byId = new HashMap<>();
 
     /** Creates a table of the given upstreams. */
     public InstanceTable(List<InstanceState> instances) {
@@ -25,6 +27,7 @@
             byService
                     .computeIfAbsent(each.instance().service(), service -> new ArrayList<>())
                     .add(each);
+            byId.computeIfAbsent(each.instance().id(), id -> new ArrayList<>()).add(each);
         }
     }
 
@@ -33,6 +36,18 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /** Records the paces of upstreams that another router knows. */
+    public void recordPaces(List<ReportedPace> paces, long nowMillis) {
+        for (ReportedPace each : paces) {
+            withId(each.upstreamId()).forEach(state -> state.pace().recordPeer(each, nowMillis));
+        }
+    }
+
+    /** Returns the incarnations with an id, usually one; empty if there are none. */
+    public List<InstanceState> withId(String id) {
+        return byId.getOrDefault(id, List.of());
+    }
+
     /**
      * Returns the time until an upstream of a service accepts requests again, if all that are in service have asked for
      * a pause; 0 if one accepts requests now, or none is in service.
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PeerLoads.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PeerLoads.java
@@ -1,66 +1,89 @@
 package io.laburnummoor.core.process;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
-import io.laburnummoor.core.Snapshot;
 import io.laburnummoor.core.connection.UpstreamLoad;
 
 /**
- * Load that all other routers of a gateway together put on each upstream. A report replaces the immutable table as a
- * whole, so that the selection of an upstream reads it without a lock.
+ * Load that all other routers of a gateway together put on each upstream. Selections read the sums without a lock. A
+ * report changes only the sums of the upstreams that it or its predecessor names, so that its cost does not grow with
+ * the number of routers: answers fleets in which hundreds of routers report each change of theirs.
  */
 public final class PeerLoads {
     /** Time for which the load that a router reported counts, unless it reports again. */
     public static final long VALID_MILLIS = 2_500;
 
-    private final Snapshot<Table> table = new Snapshot<>(new Table(Map.of(), Map.of()));
+    /** Router names come from datagrams, so their number is bounded; far above the size of the largest fleet. */
+    static final int MAX_ROUTERS = 2_000;
+
+    private static final long NEVER_MILLIS = Long.MAX_VALUE;
+
+    private final ConcurrentHashMap<String, ReceivedLoad> byRouter = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<String, UpstreamLoad> totals = new ConcurrentHashMap<>();
+    private final AtomicLong oldestReportMillis = new AtomicLong(NEVER_MILLIS);
 
     /** Records the load that a router reported, unless a newer report is known. */
     public void record(RouterLoad reported, long nowMillis) {
-        table.update(before -> before.with(reported, nowMillis));
+        byRouter.compute(reported.router(), (router, last) -> {
+            boolean outdated = last != null && !reported.isNewerThan(last.load);
+            if (outdated || (last == null && byRouter.size() >= MAX_ROUTERS)) {
+                return last;
+            }
+            reported.loadById().forEach((id, load) -> totals.merge(id, load, UpstreamLoad::plus));
+            if (last != null) {
+                subtract(last.load);
+            }
+            return new ReceivedLoad(reported, nowMillis);
+        });
+        updateOldestReport();
     }
 
     /** Removes the loads of routers that have not reported for {@link #VALID_MILLIS}. */
     public void expire(long nowMillis) {
-        table.update(before -> before.without(nowMillis));
+        for (String each : byRouter.keySet()) {
+            byRouter.computeIfPresent(each, (router, last) -> {
+                if (nowMillis - last.atMillis <= VALID_MILLIS) {
+                    return last;
+                }
+                subtract(last.load);
+                return null;
+            });
+        }
+        updateOldestReport();
+    }
+
+    private void subtract(RouterLoad former) {
+        former.loadById()
+                .forEach((id, load) -> totals.computeIfPresent(id, (same, total) -> {
+                    UpstreamLoad left = total.minus(load);
+                    return left.equals(UpstreamLoad.NONE) ? null : left;
+                }));
+    }
+
+    private void updateOldestReport() {
+        long oldest = NEVER_MILLIS;
+        for (ReceivedLoad each : byRouter.values()) {
+            oldest = Math.min(oldest, each.atMillis);
+        }
+        oldestReportMillis.set(oldest);
     }
 
     /** Returns the load that all other routers together put on an upstream. */
     public UpstreamLoad of(String upstreamId) {
-        return table.get().totals.getOrDefault(upstreamId, UpstreamLoad.NONE);
+        return totals.getOrDefault(upstreamId, UpstreamLoad.NONE);
     }
 
     /** Returns the number of routers that have reported recently. */
     public int routerCount() {
-        return table.get().byRouter.size();
+        return byRouter.size();
     }
 
-    private record ReceivedLoad(RouterLoad load, long atMillis) {}
-
-    private record Table(Map<String, ReceivedLoad> byRouter, Map<String, UpstreamLoad> totals) {
-        Table with(RouterLoad reported, long nowMillis) {
-            ReceivedLoad last = byRouter.get(reported.router());
-            if (last != null && !reported.isNewerThan(last.load)) {
-                return this;
-            }
-            Map<String, ReceivedLoad> changed = new HashMap<>(byRouter);
-            changed.put(reported.router(), new ReceivedLoad(reported, nowMillis));
-            return of(changed);
-        }
-
-        Table without(long nowMillis) {
-            Map<String, ReceivedLoad> changed = new HashMap<>(byRouter);
-            boolean removed = changed.values().removeIf(each -> nowMillis - each.atMillis > VALID_MILLIS);
-            return removed ? of(changed) : this;
-        }
-
-        private static Table of(Map<String, ReceivedLoad> byRouter) {
-            Map<String, UpstreamLoad> totals = new HashMap<>();
-            for (ReceivedLoad each : byRouter.values()) {
-                each.load.loadById().forEach((id, load) -> totals.merge(id, load, UpstreamLoad::plus));
-            }
-            return new Table(Map.copyOf(byRouter), Map.copyOf(totals));
-        }
+    /** Returns the age of the oldest report that still counts, or -1 if no router has reported recently. */
+    public long oldestReportAgeMillis(long nowMillis) {
+        long oldest = oldestReportMillis.get();
+        return oldest == NEVER_MILLIS ? -1 : Math.max(0, nowMillis - oldest);
     }
+
+    private record ReceivedLoad(RouterLoad load, long atMillis) {}
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RouterLoad.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RouterLoad.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import io.laburnummoor.core.connection.EndedIncarnation;
+import io.laburnummoor.core.connection.ReportedPace;
 import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.version.VersionCounts;
 
@@ -18,6 +19,7 @@
  * @param suspectPromptParts some of the prompt parts that may crash upstreams
  * @param endedIncarnations upstream incarnations whose end the router has recently detected
  * @param loadById loads by upstream id; upstreams that are missing are unused by the router
+ * @param paces latest paces that upstreams reported to the router
  */
 public record RouterLoad(
         String router,
@@ -27,7 +29,30 @@
         List<CrashSuspect> suspects,
         List<SuspectPromptPart> suspectPromptParts,
         List<EndedIncarnation> endedIncarnations,
-        Map<String, UpstreamLoad> loadById) {
+        Map<String, UpstreamLoad> loadById,
+        List<ReportedPace> paces) {
+    /** Creates a report without paces. */
+    public RouterLoad(
+            String router,
+            long incarnation,
+            long sequence,
+            Map<Long, Map<String, VersionCounts>> rolloutCounts,
+            List<CrashSuspect> suspects,
+            List<SuspectPromptPart> suspectPromptParts,
+            List<EndedIncarnation> endedIncarnations,
+            Map<String, UpstreamLoad> loadById) {
+        this(
+                router,
+                incarnation,
+                sequence,
+                rolloutCounts,
+                suspects,
+                suspectPromptParts,
+                endedIncarnations,
+                loadById,
+                List.of());
+    }
+
     /** Copies the collections. */
     public RouterLoad {
         suspects = List.copyOf(suspects);
@@ -35,6 +60,7 @@
         endedIncarnations = List.copyOf(endedIncarnations);
         rolloutCounts = Map.copyOf(rolloutCounts);
         loadById = Map.copyOf(loadById);
+        paces = List.copyOf(paces);
     }
 
     /** Returns whether this report replaces a previous one of the same router. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/StreamTimeouts.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/StreamTimeouts.java
@@ -60,7 +60,18 @@
 
     /** Returns how long the attempt may be silent between two events. */
     public long stallMillis() {
-        double atPace = Math.max(STALL_FRACTION * gapTargetMillis, STALL_GAP_FACTOR * usualGapMillis);
+        return stallMillis(1);
+    }
+
+    /**
+     * Returns how long the attempt may be silent between two events on an upstream of known pace. Answers upstreams
+     * that become slower by a multiple for fractions of a second: their streams go on, only later.
+     *
+     * @param pace expected duration of work on the upstream, 1 is usual
+     */
+    public long stallMillis(double pace) {
+        double usual = Math.max(STALL_FRACTION * gapTargetMillis, STALL_GAP_FACTOR * usualGapMillis);
+        double atPace = usual * Math.max(1, pace);
         double afterStalls = atPace * (1 << Math.min(stallCount, MAX_DOUBLINGS));
         return Math.min(Math.round(afterStalls), MAX_GAP_TARGETS * gapTargetMillis);
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -3,11 +3,16 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
+import io.laburnummoor.core.connection.InstanceState;
 import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
+import io.prometheus.metrics.core.datapoints.GaugeDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -74,6 +79,17 @@
             .labelNames("result")
             .register(registry);
 
+    private final Gauge upstreamPace = Gauge.builder()
+            .name("laburnummoor_upstream_pace")
+            .help("Expected duration of work by upstream that has reported it; 1 is usual.")
+            .labelNames("upstream")
+            .register(registry);
+    private final Gauge routerReportsAge = Gauge.builder()
+            .name("laburnummoor_router_reports_age_seconds")
+            .help("Age of the oldest report of another router that counts; -1 if there is none.")
+            .register(registry);
+
+    private final NamedSeries<GaugeDataPoint> paceByUpstream = new NamedSeries<>(upstreamPace, MAX_SERIES);
     private final NamedSeries<CounterDataPoint> requestsByRoute = new NamedSeries<>(requests, MAX_SERIES);
     private final NamedSeries<CounterDataPoint> attemptsByService = new NamedSeries<>(attempts, MAX_SERIES);
     private final NamedSeries<DistributionDataPoint> durationByRoute = new NamedSeries<>(duration, MAX_HISTOGRAMS);
@@ -85,6 +101,22 @@
         attemptsByService.retainNames(services);
     }
 
+    /** Records the pace of the upstreams that have reported it, and removes the series of all others. */
+    public void recordPaces(List<InstanceState> upstreams, long nowMillis) {
+        List<InstanceState> reporting =
+                upstreams.stream().filter(each -> each.pace().isReported()).toList();
+        paceByUpstream.retainNames(
+                reporting.stream().map(each -> each.instance().id()).collect(Collectors.toSet()));
+        for (InstanceState each : reporting) {
+            paceByUpstream.of(each.instance().id()).set(each.pace().expected(nowMillis));
+        }
+    }
+
+    /** Records the age of the oldest report of another router, or -1 if there is none. */
+    public void recordRouterReportsAge(long ageMillis) {
+        routerReportsAge.set(ageMillis < 0 ? ageMillis : ageMillis / MILLIS_PER_SECOND);
+    }
+
     /** Counts a request that has ended. */
     public void requestEnded(String route, int status) {
         requestsByRoute.of(route, Integer.toString(status)).inc();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -117,6 +117,10 @@
     private StatusEndpoint.Reply internalReply(String target) {
         long version = RelayedChanges.versionOf(target);
         if (version < 0) {
+            long now = context.clock().nowMillis();
+            context.metrics().recordPaces(context.state().instances().all(), now);
+            context.metrics()
+                    .recordRouterReportsAge(context.selector().expectedTime().oldestPeerReportAgeMillis(now));
             return new StatusEndpoint.Reply(
                     HttpResponseStatus.OK, context.metrics().toText());
         }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/LoadExchange.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -13,6 +15,7 @@
 import io.laburnummoor.core.Service;
 import io.laburnummoor.core.connection.EndedIncarnation;
 import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.ReportedPace;
 import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.process.CrashSuspectTable;
 import io.laburnummoor.core.process.EndedIncarnationTable;
@@ -57,6 +60,15 @@
     private static final int MAX_SUSPECTS = 4;
     /** Maximum number of engines in a message, which keeps it within one packet. */
     private static final int MAX_LOADS = 48;
+    /**
+     * Maximum number of paces in a message, the freshest ones. They pass with messages that are sent anyway, so that
+     * plain calls, of which a fleet makes hundreds a second, cause no message.
+     */
+    private static final int MAX_PACES = 6;
+    /** Number of engines by which a message is shorter that has paces or long prompts. */
+    private static final int LOADS_IN_PLACE_OF_PACES = 8;
+    /** An older pace says little more than the average of the upstream, which the receiver has learned. */
+    private static final long MAX_PACE_AGE_MILLIS = 500;
     /** The same beside suspect prompt parts. */
     private static final int MAX_LOADS_BESIDE_SUSPECTS = 28;
 
@@ -190,7 +202,11 @@
 
     private RouterLoad ownLoad() {
         List<SuspectPromptPart> suspectParts = promptParts.report();
+        List<ReportedPace> paces = ownPaces(clock.nowMillis());
         int maxLoads = suspectParts.isEmpty() ? MAX_LOADS : MAX_LOADS_BESIDE_SUSPECTS;
+        if (!paces.isEmpty() || state.instances().all().stream().anyMatch(InstanceState::prefillsLongPrompt)) {
+            maxLoads -= LOADS_IN_PLACE_OF_PACES;
+        }
         Map<String, UpstreamLoad> loads = new HashMap<>();
         for (InstanceState each : state.instances().all()) {
             UpstreamLoad load = each.ownLoad();
@@ -210,7 +226,18 @@
                 suspects.latest(MAX_SUSPECTS),
                 suspectParts,
                 endedIncarnations.recent(clock.nowMillis()),
-                loads);
+                loads,
+                paces);
+    }
+
+    /** Returns the freshest paces that this router knows from responses to it. */
+    private List<ReportedPace> ownPaces(long nowMillis) {
+        return state.instances().all().stream()
+                .map(each -> each.pace().ownWithin(each.instance().id(), MAX_PACE_AGE_MILLIS, nowMillis))
+                .filter(Objects::nonNull)
+                .sorted(Comparator.comparingLong(ReportedPace::ageMillis))
+                .limit(MAX_PACES)
+                .toList();
     }
 
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
@@ -219,6 +246,7 @@
             try {
                 RouterLoad reported = LoadCodec.decode(ByteBufUtil.getBytes(packet.content()));
                 peers.record(reported, clock.nowMillis());
+                state.instances().recordPaces(reported.paces(), clock.nowMillis());
                 suspects.merge(reported.suspects());
                 promptParts.merge(reported.suspectPromptParts());
                 applyEndedIncarnations(reported);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -56,6 +56,7 @@
     private final BufferBudget bufferBudget;
     private final EventFramer framer;
     private String requestId = "";
+    private @Nullable AttemptTiming timing;
     private @Nullable UpstreamConnection connection;
     private @Nullable UpstreamResponseHead head;
     private @Nullable HttpHeaders responseHeaders;
@@ -102,6 +103,17 @@
         }
     }
 
+    /** Sets the expected time; without one, the times of the attempt are not measured. */
+    void setTiming(AttemptTiming expected) {
+        timing = expected;
+    }
+
+    /** Returns the expected time, or null if the upstream was selected by the number of requests. */
+    @Nullable
+    AttemptTiming timing() {
+        return timing;
+    }
+
     void send(UpstreamConnection open, FullHttpRequest request, String requestId) {
         connection = open;
         this.requestId = requestId;
@@ -213,6 +225,9 @@
         if (!prefillDone) {
             prefillDone = true;
             target.prefillEnded(totalTokens);
+            if (timing != null) {
+                timing.prefillEnded();
+            }
         }
     }
 
@@ -285,9 +300,12 @@
     private boolean recordEvent(EventFramer.Event event) {
         if (event.hasId() || !numberedEvents) {
             unnumberedBytes = 0;
-            eventCount++;
+            long now = clock.nowMillis();
+            if (eventCount++ == 0 && timing != null) {
+                timing.firstEvent(now);
+            }
             markPrefillDone();
-            recordActivity(clock.nowMillis());
+            recordActivity(now);
             return true;
         }
         unnumberedBytes = Math.min(MAX_UNNUMBERED_BYTES + 1, unnumberedBytes + event.bytes().length);
@@ -310,6 +328,9 @@
             if (framer.hasPartialEvent()) {
                 failOnProtocolError("stream ended inside an event");
             } else {
+                if (timing != null) {
+                    timing.streamEnded(clock.nowMillis());
+                }
                 session.onStreamEnd(this, responseHead, headers);
             }
             return;
@@ -326,6 +347,9 @@
             body.release();
             failOnProtocolError("body holds a second answer");
         } else {
+            if (timing != null && responseHead.isSuccess()) {
+                timing.callCompleted(clock.nowMillis());
+            }
             session.onFullResponse(this, responseHead, headers, body);
         }
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -1,13 +1,17 @@
 package io.laburnummoor.gateway.request;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.process.ExpectedTime;
 import io.laburnummoor.core.process.InstanceSelector;
+import io.laburnummoor.core.process.RequestWork;
+import io.laburnummoor.core.version.ForwardConfig;
 import io.laburnummoor.core.version.ForwardRoute;
 import io.laburnummoor.core.version.ForwardService;
 import io.laburnummoor.gateway.connection.UpstreamConnection;
@@ -111,11 +115,39 @@
 
     private @Nullable InstanceState select(Set<String> usedIds, boolean afterLoss) {
         InstanceSelector.Criteria criteria = new InstanceSelector.Criteria(
-                service, usedIds, request.callerHead().promptParts(), versionDraw, afterLoss);
+                service, usedIds, request.callerHead().promptParts(), versionDraw, afterLoss, work());
         return context.selector()
                 .select(context.state().instances(), criteria, context.clock().nowMillis());
     }
 
+    private RequestWork work() {
+        CallerRequestHead head = request.callerHead();
+        return new RequestWork(
+                head.promptTokens(),
+                head.outputTokens(),
+                route.responseGoalMillis(),
+                context.clock().nowMillis() - request.arrivedAtMillis(),
+                differentiatesUrgency(),
+                ThreadLocalRandom.current().nextDouble());
+    }
+
+    private boolean differentiatesUrgency() {
+        ForwardConfig config = context.state().config();
+        return config != null && config.differentiatesUrgency(service.name());
+    }
+
+    /** Returns the expected time of this request on an upstream, or null if the number of requests decides. */
+    private ExpectedTime.@Nullable Estimate estimate(InstanceState target) {
+        List<InstanceState> upstreams = context.state().instances().ofService(service.name());
+        return context.selector().usesExpectedTime(upstreams, differentiatesUrgency())
+                ? expectedTime().of(target, service, work(), context.clock().nowMillis())
+                : null;
+    }
+
+    private ExpectedTime expectedTime() {
+        return context.selector().expectedTime();
+    }
+
     /** Returns when a caller should return after no upstream could be selected. */
     long retryAfterMillis() {
         long untilAccepting = context.state()
@@ -134,7 +166,8 @@
     /** Creates an attempt on an upstream, which counts as load there from now on. */
     Attempt newAttempt(ForwardSession session, InstanceState target, boolean fromBackup, int number) {
         CallerRequestHead head = request.callerHead();
-        return new Attempt(
+        ExpectedTime.Estimate estimate = estimate(target);
+        Attempt attempt = new Attempt(
                 session,
                 context,
                 route,
@@ -144,6 +177,20 @@
                 number,
                 head.totalTokens(),
                 context.selector().totalPrefillTokens(target) + head.promptTokens());
+        if (estimate != null) {
+            if (number == 0) {
+                expectedTime().recordPrompt(service.name(), head.promptTokens());
+            }
+            boolean isLong = expectedTime().isLongPrompt(service.name(), head.promptTokens());
+            attempt.setTiming(new AttemptTiming(
+                    expectedTime(),
+                    target,
+                    estimate,
+                    head.promptTokens(),
+                    isLong ? head.totalTokens() : 0,
+                    attempt.startedAtMillis()));
+        }
+        return attempt;
     }
 
     /** Returns the upstream that is to hold the KV-cache backup of a run on the target, or null. */
@@ -170,6 +217,10 @@
         if (!attempt.hasEvents() && attempt.target().lastSeenMillis() > attempt.startedAtMillis()) {
             recordOutcome(attempt, true);
         }
+        AttemptTiming timing = attempt.timing();
+        if (timing != null) {
+            timing.abandoned(context.clock().nowMillis());
+        }
     }
 
     /** Returns whether a response took much longer than the route's goal. */
@@ -179,12 +230,22 @@
 
     /** Returns whether a first event came much later than expected from the prompts on the engine. */
     boolean isSlow(Attempt attempt, long nowMillis) {
-        long expected = context.prefillRate().expectedMillis(attempt.prefillTokensAtStart());
+        AttemptTiming timing = attempt.timing();
+        long expected = timing == null
+                ? context.prefillRate().expectedMillis(attempt.prefillTokensAtStart())
+                : Math.round(timing.expected().firstEventMillis());
         return nowMillis - attempt.startedAtMillis() > SLOW_FACTOR * expected + SLOW_SLACK_MILLIS;
     }
 
-    /** Records the loss of an attempt, which ejects its upstream for a while and counts against its failure domain. */
+    /**
+     * Records the loss of an attempt, which ejects its upstream for a while and counts against its failure domain. One
+     * that was slow but alive is not ejected where the expected time decides, which has grown by the loss.
+     */
     void recordLoss(Attempt attempt) {
+        AttemptTiming timing = attempt.timing();
+        if (timing != null && timing.wasAbandonedAlive()) {
+            return;
+        }
         UpstreamInstance instance = attempt.instance();
         long now = context.clock().nowMillis();
         attempt.target().recordFailure(now);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/HedgeMonitor.java
@@ -12,15 +12,17 @@
  */
 final class HedgeMonitor implements AttemptMonitor {
     private static final double HEDGE_GOAL_FRACTION = 0.5;
+    /** Multiple of the expected time of the attempt before which a hedged one would not be faster. */
+    private static final double EXPECTED_TIME_FACTOR = 1.5;
 
     private final EventLoop loop;
-    private final long hedgeAfterMillis;
+    private final long goalMillis;
     private final Listener listener;
     private @Nullable ScheduledFuture<?> timer;
 
     HedgeMonitor(EventLoop loop, long goalMillis, Listener listener) {
         this.loop = loop;
-        this.hedgeAfterMillis = Math.round(goalMillis * HEDGE_GOAL_FRACTION);
+        this.goalMillis = goalMillis;
         this.listener = listener;
     }
 
@@ -32,7 +34,18 @@
                 listener.onHedgeDue(attempt);
             }
         });
-        timer = loop.schedule(whenDue, hedgeAfterMillis, TimeUnit.MILLISECONDS);
+        timer = loop.schedule(whenDue, hedgeAfterMillis(attempt), TimeUnit.MILLISECONDS);
+    }
+
+    /** A slow upstream that was chosen nevertheless is the best one, so it gets its time, but not beyond the goal. */
+    private long hedgeAfterMillis(Attempt attempt) {
+        long usual = Math.round(goalMillis * HEDGE_GOAL_FRACTION);
+        AttemptTiming timing = attempt.timing();
+        if (timing == null) {
+            return usual;
+        }
+        long expected = Math.round(EXPECTED_TIME_FACTOR * timing.expected().endMillis());
+        return Math.max(usual, Math.min(goalMillis, expected));
     }
 
     @Override
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -5,10 +5,12 @@
 
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.process.ExpectedTime;
 import io.laburnummoor.core.request.AttemptHistory;
 import io.laburnummoor.core.request.AttemptStatus;
 import io.laburnummoor.core.request.PromptPart;
 import io.laburnummoor.core.version.ForwardRoute;
+import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewayContext;
 import org.jspecify.annotations.Nullable;
 
@@ -35,7 +37,7 @@
         UpstreamInstance instance = target.instance();
         InstanceState backup = attempt.backup();
         long now = now();
-        context.log()
+        DecisionLog.Line line = context.log()
                 .line("upstream_chosen")
                 .text("request", request.id())
                 .text("reason", reason)
@@ -47,8 +49,28 @@
                 .number("estimated_load", target.estimatedLoad(now))
                 .number("load_age_ms", target.reportedLoadAgeMillis(now))
                 .number("after_event", afterEvent)
-                .text("prompt_parts", promptPartsOf(request))
-                .write();
+                .text("prompt_parts", promptPartsOf(request));
+        AttemptTiming timing = attempt.timing();
+        if (timing != null) {
+            addExpectedTime(line, timing.expected(), target, now);
+        }
+        line.write();
+    }
+
+    private void addExpectedTime(
+            DecisionLog.Line line, ExpectedTime.Estimate expected, InstanceState target, long nowMillis) {
+        line.number("expected_first_event_ms", Math.round(expected.firstEventMillis()))
+                .number("expected_end_ms", Math.round(expected.endMillis()))
+                .number("expected_wait_ms", Math.round(expected.waitMillis()))
+                .number("requests_ahead", Math.round(expected.requestsAhead()))
+                .number("prefill_tokens_ahead", expected.prefillTokensAhead())
+                .number("slots", target.slots())
+                .number("pace_percent", expected.pacePercent())
+                .number("reported_pace_percent", target.pace().reportedPercent())
+                .number("pace_age_ms", target.pace().reportAgeMillis(nowMillis))
+                .number(
+                        "router_reports_age_ms",
+                        context.selector().expectedTime().oldestPeerReportAgeMillis(nowMillis));
     }
 
     /** Returns the keys of the prompt parts that other requests may share, or null if there are none. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/StreamMonitor.java
@@ -53,7 +53,7 @@
         failedProbes = 0;
         probing = false;
         timeouts.recordAttempt();
-        schedule(Math.min(PROBE_AFTER_MILLIS, timeouts.stallMillis()));
+        schedule(Math.min(PROBE_AFTER_MILLIS, timeouts.stallMillis(paceOf(attempt))));
     }
 
     @Override
@@ -107,7 +107,7 @@
 
     private void checkBetweenEvents(Attempt attempt, long now) {
         long silentMillis = now - attempt.lastActivityMillis();
-        long stallMillis = timeouts.stallMillis();
+        long stallMillis = timeouts.stallMillis(paceOf(attempt));
         if (silentMillis < stallMillis) {
             schedule(stallMillis - silentMillis);
         } else {
@@ -143,6 +143,10 @@
             return;
         }
         probing = false;
+        AttemptTiming timing = attempt.timing();
+        if (timing != null) {
+            timing.recordProbe(alive);
+        }
         if (alive) {
             failedProbes = 0;
             attempt.target().recordLastSeen(clock.nowMillis());
@@ -174,8 +178,21 @@
         }
     }
 
+    /** Returns the pace of the upstream, 1 if it is not known. */
+    private double paceOf(Attempt attempt) {
+        return attempt.timing() == null ? 1 : attempt.target().pace().expected(clock.nowMillis());
+    }
+
+    /** Returns how long the first event may take, by the time expected at the start or by that expected now. */
     private long firstEventTimeoutMillis(Attempt attempt) {
         long prefillTokens = context.selector().totalPrefillTokens(attempt.target());
-        return timeouts.firstEventMillis(context.prefillRate().expectedMillis(prefillTokens));
+        AttemptTiming timing = attempt.timing();
+        if (timing == null) {
+            return timeouts.firstEventMillis(context.prefillRate().expectedMillis(prefillTokens));
+        }
+        long expectedNow =
+                context.selector().expectedTime().prefillMillis(attempt.target(), prefillTokens, clock.nowMillis());
+        return timeouts.firstEventMillis(
+                Math.max(expectedNow, Math.round(timing.expected().firstEventMillis())));
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamResponseHead.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamResponseHead.java
@@ -16,6 +16,7 @@
  * @param contentEncoded whether the body has a content encoding, so that it differs from the bytes that the upstream
  *     produced
  * @param load load of the upstream, or null if it reports none
+ * @param malformedLoad whether a figure of the reported load could not be read and counts as absent
  * @param keepAliveSeconds time that the upstream keeps an idle connection open; 0 if it does not announce one
  */
 public record UpstreamResponseHead(
@@ -28,6 +29,7 @@
         long holdOffMillis,
         boolean contentEncoded,
         @Nullable ReportedLoad load,
+        boolean malformedLoad,
         int keepAliveSeconds) {
     /** Returns whether the status is a 2xx one. */
     public boolean isSuccess() {
--- a/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/process/GatewayMetricsTest.java
+++ b/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/process/GatewayMetricsTest.java
@@ -1,8 +1,13 @@
 package io.laburnummoor.gateway.process;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
 
+import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.ReportedLoad;
+import io.laburnummoor.core.connection.UpstreamInstance;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -57,6 +62,35 @@
         assertThat(counted, is((double) routes));
     }
 
+    /** Guards against a series for each upstream that ever was. */
+    @ParameterizedTest(name = "{0} upstreams, then {1}")
+    @CsvSource({"3, 2, 2", "3, 0, 0", "5000, 5000, 2001"})
+    void paceSeriesAreBoundedAndThoseOfFormerUpstreamsGo(int before, int after, int series) {
+        GatewayMetrics metrics = new GatewayMetrics();
+        metrics.recordPaces(upstreams("a", before), 1_000);
+        metrics.recordPaces(upstreams("b", after), 1_000);
+        metrics.recordRouterReportsAge(700);
+        String read = new String(metrics.toText(), StandardCharsets.UTF_8);
+
+        assertThat(
+                read.lines()
+                        .filter(each -> each.startsWith("laburnummoor_upstream_pace{"))
+                        .count(),
+                is((long) series));
+        assertThat(read, containsString("laburnummoor_router_reports_age_seconds 0.7"));
+    }
+
+    private static List<InstanceState> upstreams(String prefix, int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> {
+                    InstanceState state = new InstanceState(new UpstreamInstance(
+                            prefix + i, "drafter", "sapporo", "10.0.0.1", 80, "v1", 24, false, 0, 1, 1));
+                    state.recordReportedLoad(new ReportedLoad(1, 0, 24, 250), 1_000);
+                    return state;
+                })
+                .toList();
+    }
+
     private static void record(GatewayMetrics metrics, String route, String service) {
         metrics.requestEnded(route, 200);
         metrics.attemptEnded(service, "answered");
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/LoadCodec.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/connection/LoadCodec.java
@@ -7,6 +7,7 @@
 
 import io.laburnummoor.core.connection.EndedIncarnation;
 import io.laburnummoor.core.connection.PromptPartCrash;
+import io.laburnummoor.core.connection.ReportedPace;
 import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.process.CrashSuspect;
 import io.laburnummoor.core.process.RouterLoad;
@@ -18,6 +19,7 @@
 import io.laburnummoor.wire.generated.RouterLoadMessage;
 import io.laburnummoor.wire.generated.SuspectPromptPartMessage;
 import io.laburnummoor.wire.generated.UpstreamLoadMessage;
+import io.laburnummoor.wire.generated.UpstreamPaceMessage;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
@@ -30,9 +32,7 @@
     /** Returns the bytes of a message. */
     public static byte[] encode(RouterLoad load) throws TException {
         List<UpstreamLoadMessage> loads = new ArrayList<>();
-        load.loadById()
-                .forEach((id, each) -> loads.add(
-                        new UpstreamLoadMessage(id, each.inFlight(), each.prefillTokens(), each.kvCacheTokens())));
+        load.loadById().forEach((id, each) -> loads.add(encode(id, each)));
         RouterLoadMessage message = new RouterLoadMessage(load.router(), load.incarnation(), load.sequence(), loads);
         load.rolloutCounts()
                 .forEach((order, counts) ->
@@ -48,6 +48,7 @@
                 .forEach(each ->
                         message.addToEndedLives(new EndedLifeMessage(each.upstreamId(), each.startedAtMillis())));
         load.suspectPromptParts().forEach(each -> message.addToSuspectPromptParts(encode(each)));
+        load.paces().forEach(each -> message.addToPaces(encode(each)));
         return new TSerializer(new TCompactProtocol.Factory()).serialize(message);
     }
 
@@ -59,7 +60,11 @@
         for (UpstreamLoadMessage each : message.getLoads()) {
             loads.put(
                     each.getUpstreamId(),
-                    new UpstreamLoad(each.getInFlight(), each.getPromptTokens(), each.getHeldTokens()));
+                    new UpstreamLoad(
+                            each.getInFlight(),
+                            each.getPromptTokens(),
+                            each.getHeldTokens(),
+                            each.getLongPromptTokens()));
         }
         Map<Long, Map<String, VersionCounts>> counts = new HashMap<>();
         if (message.isSetRolloutCounts()) {
@@ -95,7 +100,38 @@
                 suspects,
                 suspectParts,
                 ended,
-                loads);
+                loads,
+                pacesOf(message));
+    }
+
+    private static UpstreamLoadMessage encode(String id, UpstreamLoad load) {
+        UpstreamLoadMessage message =
+                new UpstreamLoadMessage(id, load.inFlight(), load.prefillTokens(), load.kvCacheTokens());
+        if (load.longPrefillTokens() > 0) {
+            message.setLongPromptTokens(load.longPrefillTokens());
+        }
+        return message;
+    }
+
+    private static UpstreamPaceMessage encode(ReportedPace pace) {
+        UpstreamPaceMessage message =
+                new UpstreamPaceMessage(pace.upstreamId(), pace.percent(), (int) pace.ageMillis());
+        if (pace.measuredPercent() > 0) {
+            message.setMeasuredPercent(pace.measuredPercent());
+        }
+        return message;
+    }
+
+    private static List<ReportedPace> pacesOf(RouterLoadMessage message) {
+        return message.isSetPaces()
+                ? message.getPaces().stream()
+                        .map(each -> new ReportedPace(
+                                each.getUpstreamId(),
+                                each.getPercent(),
+                                each.getMeasuredPercent(),
+                                each.getAgeMillis()))
+                        .toList()
+                : List.of();
     }
 
     private static SuspectPromptPartMessage encode(SuspectPromptPart part) {
--- a/laburnummoor-wire/src/main/thrift/load.thrift
+++ b/laburnummoor-wire/src/main/thrift/load.thrift
@@ -15,6 +15,19 @@
   3: required i64 promptTokens
   /** Tokens of all its requests and copies. */
   4: required i64 heldTokens
+  /** The part of the prompt tokens that belongs to long prompts; left out if there are none. */
+  5: optional i64 longPromptTokens
+}
+
+/** How long work takes on an upstream, as one gateway knows from a response. */
+struct UpstreamPaceMessage {
+  1: required string upstreamId
+  /** Pace that the upstream reported, 100 is usual; 0 if it reported none. */
+  2: required i32 percent
+  /** Age of the response when this message was sent. */
+  3: required i32 ageMillis
+  /** Measured time in percent of the time that was expected at the reported pace; left out if not measured. */
+  4: optional i32 measuredPercent
 }
 
 /** Judged answers of both versions of an ordered rollout on one route. */
@@ -69,4 +82,6 @@
   7: optional list<EndedLifeMessage> endedLives
   /** Some of the prompt parts that may crash upstreams; left out while there are none. */
   8: optional list<SuspectPromptPartMessage> suspectPromptParts
+  /** Latest paces of upstreams; left out while there are none. */
+  9: optional list<UpstreamPaceMessage> paces
 }
