--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RequestTrace.java
@@ -5,6 +5,7 @@
 
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamInstance;
+import io.laburnummoor.core.process.ExpectedTime;
 import io.laburnummoor.core.request.AttemptHistory;
 import io.laburnummoor.core.request.AttemptStatus;
 import io.laburnummoor.core.request.PromptPart;
@@ -39,7 +40,7 @@
         UpstreamInstance instance = target.instance();
         InstanceState backup = attempt.backup();
         long now = now();
-        lineWithUrgency("upstream_chosen")
+        DecisionLog.Line line = lineWithUrgency("upstream_chosen")
                 .text("reason", reason)
                 .text("upstream", instance.id())
                 .text("failure_domain", instance.failureDomain())
@@ -49,8 +50,28 @@
                 .number("estimated_load", target.estimatedLoad(now))
                 .number("load_age_ms", target.reportedLoadAgeMillis(now))
                 .number("after_event", afterEvent)
-                .text("prompt_parts", promptPartsOf(request))
-                .write();
+                .text("prompt_parts", promptPartsOf(request));
+        AttemptTiming timing = attempt.timing();
+        if (timing != null) {
+            addExpectedTime(line, timing.expected(), target, now);
+        }
+        line.write();
+    }
+
+    private void addExpectedTime(
+            DecisionLog.Line line, ExpectedTime.Estimate expected, InstanceState target, long nowMillis) {
+        line.number("expected_first_event_ms", Math.round(expected.firstEventMillis()))
+                .number("expected_end_ms", Math.round(expected.endMillis()))
+                .number("expected_wait_ms", Math.round(expected.waitMillis()))
+                .number("requests_ahead", Math.round(expected.requestsAhead()))
+                .number("prefill_tokens_ahead", expected.prefillTokensAhead())
+                .number("slots", target.slots())
+                .number("pace_percent", expected.pacePercent())
+                .number("reported_pace_percent", target.pace().reportedPercent())
+                .number("pace_age_ms", target.pace().reportAgeMillis(nowMillis))
+                .number(
+                        "router_reports_age_ms",
+                        context.selector().expectedTime().oldestPeerReportAgeMillis(nowMillis));
     }
 
     /** Returns the keys of the prompt parts that other requests may share, or null if there are none. */
