Do not count resets at an upstream's connection limit as crashes

Cause: CrashReporter.checkLasting took each reset of its further connection for the end of the process, also after the connection of the request itself had been reset as one too many, or had been given up by the gateway because of a malformed response. Besides, UpstreamPool.probe reported such a reset as refused if it arrived before the event loop saw that the connection was established; confirmRequestCrash and the check before checkLasting counted that as a crash.

Fix: the further connection is evidence only if the upstream ended a connection that it had accepted, that is, which it had kept for 100 ms or responded on. A process that ends closes these, and a proxy may still accept connections for it. A reset while connecting shows that something listens, so that a probe reports it as accepted. A request that crashes an engine within 100 ms on a new connection is not counted while a proxy accepts connections at its port.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -1,5 +1,7 @@
 package io.laburnummoor.gateway.connection;
 
+import java.io.IOException;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -48,6 +50,10 @@
     private String bodyTail = "";
 
     private boolean failed;
+    /** Whether the upstream has kept the connection or responded; it resets one beyond its limit at once. */
+    private boolean accepted;
+
+    private boolean endedByUpstream;
     private long idleSinceMillis;
     private long idleLimitMillis;
 
@@ -92,6 +98,7 @@
         }
         written = target.writeAndFlush(request).addListener((ChannelFutureListener) done -> {
             if (!done.isSuccess()) {
+                recordEnd(done.cause());
                 fail("write failed");
                 target.close();
             }
@@ -165,6 +172,20 @@
         return isOpen();
     }
 
+    /** Called some time after the connection was established; reads first, since a reset may not have been seen yet. */
+    void recordKept() {
+        Channel target = channel;
+        accepted |= target != null && target.config().isAutoRead() ? isOpenAfterRead() : isOpen();
+    }
+
+    /**
+     * Returns whether the upstream ended the connection after it had accepted it, as happens when its process ends. A
+     * connection that is reset as soon as it is established may only be one too many.
+     */
+    public boolean wasEndedAfterAcceptance() {
+        return accepted && endedByUpstream;
+    }
+
     boolean isUsable(long nowMillis) {
         return isOpen() && nowMillis - idleSinceMillis < idleLimitMillis;
     }
@@ -228,6 +249,7 @@
     }
 
     private void readHead(HttpResponse response) {
+        accepted = true;
         if (response.decoderResult().isFailure()) {
             fail("bytes are no answer");
             return;
@@ -317,7 +339,12 @@
         return written != null && written.isDone();
     }
 
+    private void recordEnd(Throwable cause) {
+        endedByUpstream |= !failed && cause instanceof IOException;
+    }
+
     private void fail(String cause) {
+        endedByUpstream |= !failed && channel != null && !channel.isActive();
         failed = true;
         UpstreamListener current = listener;
         listener = null;
@@ -335,6 +362,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        recordEnd(cause);
         fail("connection failed: " + cause.getClass().getSimpleName());
     }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamPool.java
@@ -1,5 +1,6 @@
 package io.laburnummoor.gateway.connection;
 
+import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -30,6 +31,8 @@
 public final class UpstreamPool {
     /** Round trips take a few milliseconds; a lost SYN packet would be retransmitted only after a second. */
     private static final int CONNECT_TIMEOUT_MILLIS = 250;
+    /** A live upstream keeps a connection within its limit at least so long. */
+    private static final long KEPT_MILLIS = 100;
     /** Idle time after which a connection is not reused if the upstream announces no keep-alive timeout. */
     private static final long DEFAULT_IDLE_MILLIS = 2_000;
 
@@ -39,6 +42,9 @@
      */
     static final long MAX_IDLE_MILLIS = 30_000;
 
+    /** The error of a connection attempt that was accepted and reset; the JDK has no exception type for it. */
+    private static final String RESET_MESSAGE = "Connection reset";
+
     private static final long SWEEP_INTERVAL_MILLIS = 1_000;
     /** Each close takes some system calls, during which the loop serves no request. */
     private static final int MAX_CLOSED_PER_SWEEP = 200;
@@ -91,6 +97,10 @@
 
     /** Opens a connection and passes it to the consumer, or null if the upstream cannot be reached. */
     public void open(UpstreamInstance instance, Consumer<@Nullable UpstreamConnection> consumer) {
+        open(instance, (connection, cause) -> consumer.accept(connection));
+    }
+
+    private void open(UpstreamInstance instance, ConnectListener listener) {
         UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
         UpstreamConnection connection =
                 new UpstreamConnection(this, keyOf(instance), decoder, unsolicitedBytesListener);
@@ -111,24 +121,38 @@
                     }
                 })
                 .connect(instance.host(), instance.port());
-        connecting.addListener((ChannelFutureListener) done -> consumer.accept(done.isSuccess() ? connection : null));
+        connecting.addListener((ChannelFutureListener) done -> {
+            if (done.isSuccess()) {
+                loop.schedule(connection::recordKept, KEPT_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            listener.onConnected(done.isSuccess() ? connection : null, done.cause());
+        });
     }
 
-    /** Reports whether the upstream accepts a connection; the connection is kept for the next request. */
+    /**
+     * Reports whether the upstream accepts a connection, even if it resets it at once because of its connection limit.
+     * The connection is kept for the next request.
+     */
     public void probe(UpstreamInstance instance, Consumer<Boolean> consumer) {
-        open(instance, connection -> {
+        open(instance, (connection, cause) -> {
             if (connection != null) {
                 connection.returnToPool();
             }
-            consumer.accept(connection != null);
+            consumer.accept(connection != null || isReset(cause));
         });
     }
 
+    /** A reset can arrive before the event loop has noticed that the connection is established. */
+    private static boolean isReset(@Nullable Throwable cause) {
+        return cause instanceof SocketException
+                && String.valueOf(cause.getMessage()).startsWith(RESET_MESSAGE);
+    }
+
     /**
-     * Reports whether the upstream accepts a connection and keeps it open for some time; a proxy may accept connections
-     * for an upstream that has ended.
+     * Reports whether the upstream accepts a connection and keeps it open for some time. A proxy may accept connections
+     * for an upstream that has ended; a live upstream resets those beyond its connection limit.
      */
-    public void probeLasting(UpstreamInstance instance, long lastingMillis, Consumer<Boolean> consumer) {
+    public void probeLasting(UpstreamInstance instance, Consumer<Boolean> consumer) {
         open(instance, connection -> {
             if (connection == null) {
                 consumer.accept(false);
@@ -141,7 +165,7 @@
                             }
                             consumer.accept(open);
                         },
-                        lastingMillis,
+                        KEPT_MILLIS,
                         TimeUnit.MILLISECONDS);
             }
         });
@@ -202,4 +226,9 @@
     private static String keyOf(UpstreamInstance instance) {
         return instance.id() + "@" + instance.address();
     }
+
+    /** Receives a new connection, or the cause why there is none. */
+    private interface ConnectListener {
+        void onConnected(@Nullable UpstreamConnection connection, @Nullable Throwable cause);
+    }
 }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -69,6 +69,7 @@
     private int unnumberedBytes;
 
     private boolean ended;
+    private boolean endedAfterAcceptance;
 
     Attempt(
             ForwardSession session,
@@ -152,6 +153,11 @@
         return connectionRequestCount;
     }
 
+    /** Returns whether the upstream ended the attempt's connection after it had accepted it. */
+    boolean wasEndedAfterAcceptance() {
+        return endedAfterAcceptance;
+    }
+
     /** Returns a task whose failure ends the request with an error. */
     Runnable guarded(Runnable task) {
         return session.guarded(task);
@@ -333,6 +339,7 @@
     @Override
     public void onFailure(String cause) {
         if (!ended) {
+            endedAfterAcceptance = connection != null && connection.wasEndedAfterAcceptance();
             guarded(() -> session.onConnectionFailed(this, cause)).run();
         }
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CrashReporter.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/CrashReporter.java
@@ -23,8 +23,8 @@
     private static final int QUARANTINE_CRASHES = 3;
     /** By then the loss of a whole failure domain has been detected, and a crashed upstream has not yet restarted. */
     private static final long CONFIRM_DELAY_MILLIS = 600;
-    /** A live upstream keeps a new connection at least so long. */
-    private static final long LASTING_MILLIS = 100;
+    /** An upstream that responds to another request so long after the loss has not crashed. */
+    private static final long SEEN_AFTER_MILLIS = 50;
     /** A request that crashes engines does so when it starts to run; a later loss has another cause. */
     private static final int MAX_EVENTS_BEFORE_CRASH = 3;
 
@@ -130,16 +130,20 @@
                 countPromptPartCrash(instance, fingerprint, wallMillis);
             }
             whenChecked.run();
-            if (alive) {
+            if (alive && attempt.wasEndedAfterAcceptance()) {
                 checkLasting(attempt.target(), fingerprint, wallMillis);
             }
         });
     }
 
-    /** Counts a crash if the upstream accepts connections without keeping them, and its other ones are silent, too. */
+    /**
+     * Counts a crash if the upstream accepts connections without keeping them, and its other ones are silent, too. This
+     * is evidence only after the loss of a connection that the upstream had accepted: an upstream at its connection
+     * limit resets the one of the request and this one alike.
+     */
     private void checkLasting(InstanceState upstream, String fingerprint, long wallMillis) {
-        long aliveAfterMillis = context.clock().nowMillis() + LASTING_MILLIS / 2;
-        pool.probeLasting(upstream.instance(), LASTING_MILLIS, lasting -> {
+        long aliveAfterMillis = context.clock().nowMillis() + SEEN_AFTER_MILLIS;
+        pool.probeLasting(upstream.instance(), lasting -> {
             if (!lasting && upstream.lastSeenMillis() <= aliveAfterMillis) {
                 countPromptPartCrash(upstream.instance(), fingerprint, wallMillis);
             }
--- a/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/UpstreamPoolTest.java
+++ b/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/UpstreamPoolTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -10,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 import io.laburnummoor.core.Clock;
@@ -33,6 +35,9 @@
 final class UpstreamPoolTest {
     private static final int CONNECTIONS = 100;
     private static final long CLOSE_WITHIN_MILLIS = 10_000;
+    /** Longer than a connection takes on loopback to be accepted and reset. */
+    private static final long BUSY_NANOS = 200_000_000;
+
     private static final long AWAIT_SECONDS = 10;
 
     private final EventLoopGroup loops = new NioEventLoopGroup(1);
@@ -57,15 +62,15 @@
     }
 
     private void probe() throws Exception {
-        onLoop(loop, (CompletableFuture<Boolean> done) -> pool.probe(engine.instance(), done::complete));
+        onLoop(loop, (CompletableFuture<Boolean> done) -> pool.probe(engine.instance, done::complete));
     }
 
     private void probeLasting() throws Exception {
-        onLoop(loop, (CompletableFuture<Boolean> done) -> pool.probeLasting(engine.instance(), 1, done::complete));
+        onLoop(loop, (CompletableFuture<Boolean> done) -> pool.probeLasting(engine.instance, done::complete));
     }
 
     private UpstreamConnection open(long limitMillis) throws Exception {
-        UpstreamConnection connection = onLoop(loop, done -> pool.open(engine.instance(), done::complete));
+        UpstreamConnection connection = onLoop(loop, done -> pool.open(engine.instance, done::complete));
         connection.setIdleLimit(limitMillis);
         return connection;
     }
@@ -103,16 +108,39 @@
         Thread.sleep(idleMillis);
 
         skippedMillis.set(1_000);
-        UpstreamConnection next = onLoop(loop, done -> pool.connect(engine.instance(), null, done::complete));
+        UpstreamConnection next = onLoop(loop, done -> pool.connect(engine.instance, null, done::complete));
 
         assertThat(next, is(sameInstance(first)));
     }
 
-    /** Accepts connections and keeps them open without a word. */
+    /**
+     * Guards against an upstream at its connection limit that counts as gone: its reset can arrive before the event
+     * loop has seen that the connection is established.
+     */
+    @ParameterizedTest(name = "upstream listens and resets: {0}")
+    @ValueSource(booleans = {true, false})
+    void onlyAConnectionThatIsRefusedShowsThatTheUpstreamIsGone(boolean listening) throws Exception {
+        engine.resetting = true;
+        if (!listening) {
+            engine.close();
+        }
+
+        boolean accepted = onLoop(loop, done -> {
+            pool.probe(engine.instance, done::complete);
+            // Runs after the task that begins to connect.
+            loop.execute(() -> LockSupport.parkNanos(BUSY_NANOS));
+        });
+
+        assertThat(accepted, is(listening));
+    }
+
+    /** Accepts connections and keeps them open without a word, or resets them. */
     private static final class SilentEngine {
         private final ServerSocketChannel server =
                 ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
         private final List<SocketChannel> accepted = new CopyOnWriteArrayList<>();
+        private final UpstreamInstance instance = instance();
+        private volatile boolean resetting;
 
         private SilentEngine() throws IOException {
             Thread acceptor = new Thread(this::accept, "silent-engine");
@@ -124,6 +152,11 @@
             try {
                 while (true) {
                     SocketChannel connection = server.accept();
+                    if (resetting) {
+                        connection.setOption(StandardSocketOptions.SO_LINGER, 0);
+                        connection.close();
+                        continue;
+                    }
                     connection.configureBlocking(false);
                     accepted.add(connection);
                 }
