Take a status outside of 100 to 599 for no response

What callers saw: the status lines "HTTP/1.1 0" and "HTTP/1.1 99" where an upstream responded with 000 or 099, the statuses 600 and 999 as they came, and no usable response for 1000, after which the test's caller timed out. "+200" and "0200" were taken for 200.

Cause: Netty's decoder parses the status with Integer.parseInt, and UpstreamConnection.readHead rejected malformed messages only. In the stand-alone router, the HTTP client rejects the other forms itself, but PlainServiceClient reported 600 and 999 as responses, with which a JAX-RS response cannot be built (by reading).

Fix: UpstreamResponseDecoder accepts three digits from 100 to 599 only, so that any other status is a malformed head and a lost attempt: it is retried where that is allowed, and answered with 502 otherwise. PlainServiceClient checks the status before it reads the response, which makes the call a lost one. The other clients of the stand-alone router need no change: HttpEngineClient (EngineEventConsumer) and the users of JsonHttp take any status that they do not expect for a failure.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamResponseDecoder.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamResponseDecoder.java
@@ -24,6 +24,7 @@
     /** The start of a status line, which no reason phrase or header value of a sound response contains. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]{3}");
 
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
     private static final String STATUS_LINE_START = "HTTP/";
     private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
 
@@ -63,6 +64,15 @@
         return actualReadableBytes();
     }
 
+    /** Rejects a status that HTTP does not define, also in forms that a number parser accepts, such as "+200". */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!STATUS.matcher(initialLine[1]).matches()) {
+            throw new IllegalArgumentException("status is not between 100 and 599");
+        }
+        return super.createMessage(initialLine);
+    }
+
     /** Returns whether the message has no body whatever its headers say. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/request/PlainServiceClient.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/request/PlainServiceClient.java
@@ -24,6 +24,7 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 
@@ -38,6 +39,8 @@
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
     private static final int MAX_CONNECTIONS = 10_000;
     private static final int MAX_CONNECTIONS_PER_UPSTREAM = 1_000;
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
     private static final List<String> PASSED_HEADERS = List.of("Location", "ETag", "Cache-Control", "Retry-After");
 
     private final CloseableHttpAsyncClient reusing = build(true);
@@ -98,13 +101,20 @@
                 .disableAutomaticRetries()
                 .disableRedirectHandling()
                 .disableCookieManagement()
-                .disableAuthCaching();
+                .disableAuthCaching()
+                .addResponseInterceptorFirst((response, entity, context) -> checkStatus(response.getCode()));
         if (!reuseConnections) {
             builder.setConnectionReuseStrategy((request, response, context) -> false);
         }
         return builder.build();
     }
 
+    private static void checkStatus(int status) throws ProtocolException {
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            throw new ProtocolException("status " + status + " is not between 100 and 599");
+        }
+    }
+
     private static PlainResponse decode(SimpleHttpResponse response) {
         Map<String, String> headers = new HashMap<>();
         for (String name : PASSED_HEADERS) {
--- /dev/null
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/request/BrokenResponseTest.java
@@ -0,0 +1,142 @@
+package io.laburnummoor.wire.request;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.laburnummoor.core.connection.Upstream;
+import io.laburnummoor.wire.process.JsonHttp;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** Guards against a broken response that the clients of the stand-alone router report as a complete one. */
+final class BrokenResponseTest {
+    private static final long CALL_SECONDS = 5;
+    private static final int TIMEOUT_MILLIS = 2_000;
+    private static final String NONE = "no response";
+    private static final String GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
+
+    private final JsonHttp json = new JsonHttp(TIMEOUT_MILLIS);
+    private final PlainServiceClient plain = new PlainServiceClient();
+
+    @AfterEach
+    void stop() {
+        plain.stop();
+        json.stop();
+    }
+
+    private String callJson(int port, byte[] body) {
+        URI address = URI.create("http://127.0.0.1:" + port + "/1");
+        String text = new String(body, StandardCharsets.US_ASCII);
+        try {
+            JsonHttp.Reply reply = json.exchange("POST", address, JsonNodeFactory.instance.textNode(text));
+            return reply.status() + " " + reply.body().asText();
+        } catch (IOException failure) {
+            return NONE;
+        }
+    }
+
+    private String callPlain(int port, byte[] body, boolean idempotent) throws Exception {
+        CompletableFuture<String> result = new CompletableFuture<>();
+        plain.start();
+        plain.send(
+                new Upstream("e-1", "desk", "niseko", "127.0.0.1", port, 1, false),
+                new PlainRequest("POST", "/1", Map.of(), body),
+                idempotent,
+                TIMEOUT_MILLIS,
+                new PlainCallListener() {
+                    @Override
+                    public void onResponse(PlainResponse response) {
+                        result.complete(
+                                response.status() + " " + new String(response.body(), StandardCharsets.US_ASCII));
+                    }
+
+                    @Override
+                    public void onNeverHandedOver(String reason) {
+                        result.complete("never sent");
+                    }
+
+                    @Override
+                    public void onLost(String reason) {
+                        result.complete(NONE);
+                    }
+                });
+        return result.get(CALL_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private String call(String client, int port, int bodyBytes) throws Exception {
+        byte[] body = "x".repeat(bodyBytes).getBytes(StandardCharsets.US_ASCII);
+        return client.equals("json") ? callJson(port, body) : callPlain(port, body, client.equals("idempotent"));
+    }
+
+    static Stream<Arguments> statuses() {
+        return Stream.of("000", "099", "600", "999", "1000", "-200", "+200", "0200", "20")
+                .flatMap(status -> Stream.of("idempotent", "single").map(client -> Arguments.of(client, status)));
+    }
+
+    @ParameterizedTest(name = "{0}, status {1}")
+    @MethodSource("statuses")
+    void aStatusOutOfRangeIsNoResponse(String client, String status) throws Exception {
+        try (ScriptedServer server = new ScriptedServer(GOOD.replace("200", status), Ending.CLOSED)) {
+            assertThat(call(client, server.port(), 1), is(NONE));
+        }
+    }
+
+    /** What the server does when it has written. */
+    private enum Ending {
+        CLOSED,
+        RESET
+    }
+
+    /** Reads the head of one request, writes a text and ends the connection. */
+    private static final class ScriptedServer implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final String response;
+        private final Ending ending;
+
+        private ScriptedServer(String response, Ending ending) throws IOException {
+            this.response = response;
+            this.ending = ending;
+            Thread thread = new Thread(this::serve, "scripted-server");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private int port() {
+            return server.getLocalPort();
+        }
+
+        private void serve() {
+            try (Socket socket = server.accept()) {
+                InputStream in = socket.getInputStream();
+                StringBuilder head = new StringBuilder();
+                while (head.indexOf("\r\n\r\n") < 0) {
+                    head.append((char) in.read());
+                }
+                socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+                socket.setSoLinger(ending == Ending.RESET, 0);
+            } catch (IOException ended) {
+                // The client or the test has ended.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+}
