--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -70,6 +70,7 @@
     private int unnumberedBytes;
 
     private boolean ended;
+    private boolean endedAfterAcceptance;
 
     Attempt(
             ForwardSession session,
@@ -164,6 +165,11 @@
         return connectionRequestCount;
     }
 
+    /** Returns whether the upstream ended the attempt's connection after it had accepted it. */
+    boolean wasEndedAfterAcceptance() {
+        return endedAfterAcceptance;
+    }
+
     /** Returns a task whose failure ends the request with an error. */
     Runnable guarded(Runnable task) {
         return session.guarded(task);
@@ -357,6 +363,7 @@
     @Override
     public void onFailure(String cause) {
         if (!ended) {
+            endedAfterAcceptance = connection != null && connection.wasEndedAfterAcceptance();
             guarded(() -> session.onConnectionFailed(this, cause)).run();
         }
     }
