--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardRoute.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/ForwardRoute.java
@@ -68,7 +68,7 @@
                 .filter(each -> each.weight() > 0)
                 .map(Target::service)
                 .collect(Collectors.toSet());
-        return weighted.isEmpty() ? Set.of(selectService(0)) : weighted;
+        return weighted.isEmpty() && !targets.isEmpty() ? Set.of(selectService(0)) : weighted;
     }
 
     /**
