Add the era of the store to its versions

A store that is restored from an older copy issues its revisions again. A version now holds the era in its upper bits, so versions of a later era are greater than all earlier ones, and recent changes are passed on only within one era.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ChangeFeed.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ChangeFeed.java
@@ -5,7 +5,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Ordered changes of the store's keys, read by the gateway's store thread.
+ * Ordered changes of the store's keys, read by the gateway's store thread. All versions state the era of the store, as
+ * {@link io.laburnummoor.core.StoreVersion} describes.
  *
  * <p>Every method blocks and may throw a {@code LaburnummoorException} with code {@code store_unavailable}.
  */
@@ -16,7 +17,8 @@
     /**
      * Waits for changes after a version; returns an empty batch if there is none within the given time.
      *
-     * @return the changes, or null if the store no longer holds the history after that version
+     * @return the changes, or null if the store no longer holds the history after that version, as after a restore,
+     *     which starts a new era
      */
     @Nullable
     Batch changesAfter(String prefix, long version, long waitMillis);
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/KeyValueStore.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/KeyValueStore.java
@@ -14,12 +14,21 @@
     /** Lease id of a key without a lease. */
     long NO_LEASE = 0;
 
+    /**
+     * Returns the era that the store was in at its latest response; it increases each time the store is restored from
+     * an older copy. A store that is never restored stays in era 0.
+     */
+    default long era() {
+        return 0;
+    }
+
     /** Returns the value of a key, or null if it does not exist. */
     @Nullable
     VersionedValue get(String key);
 
     /**
-     * Replaces the value of a key if its version is the expected one ({@link #ABSENT} to create it).
+     * Replaces the value of a key if its version is the expected one ({@link #ABSENT} to create it). A version of a
+     * former era of the store never matches.
      *
      * @return the new version, or {@link #ABSENT} if the version did not match
      */
@@ -54,7 +63,7 @@
      * A value and its version.
      *
      * @param value text of at most 1 MB
-     * @param version number that increases with each write of the key
+     * @param version number that increases with each write of the key, also across a restore of the store
      */
     record VersionedValue(String value, long version) {}
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RecentChanges.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RecentChanges.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import io.laburnummoor.core.Snapshot;
+import io.laburnummoor.core.StoreVersion;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,7 +40,7 @@
     /**
      * Returns the changes after a store version; empty if the router knows none.
      *
-     * @return the changes, or null if the history does not reach back to that version
+     * @return the changes, or null if the history does not reach back to that version or has another era
      */
     public ChangeFeed.@Nullable Batch after(long version) {
         return history.get().after(version);
@@ -73,7 +74,8 @@
         }
 
         ChangeFeed.@Nullable Batch after(long version) {
-            if (start == UNKNOWN || version < start) {
+            boolean sameEra = StoreVersion.eraOf(version) == StoreVersion.eraOf(end);
+            if (start == UNKNOWN || version < start || !sameEra) {
                 return null;
             }
             List<ChangeFeed.Change> later =
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/RecentChangesTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/RecentChangesTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.stream.LongStream;
 
+import io.laburnummoor.core.StoreVersion;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -54,6 +55,19 @@
         assertThat(changes.after(after) == null, is(true));
     }
 
+    /** Guards against a router that takes the lack of later changes in another era for having read them all. */
+    @ParameterizedTest(name = "known revision {1} of era {0}, asked after revision {3} of era {2}")
+    @CsvSource({"0, 110, 1, 105", "0, 110, 1, 120", "1, 110, 0, 110", "1, 110, 0, 120", "1, 110, 2, 110"})
+    void nothingIsKnownOfAnotherEra(long era, long revision, long askedEra, long askedRevision) {
+        RecentChanges changes = new RecentChanges();
+        changes.restart(StoreVersion.of(era, START));
+        long version = StoreVersion.of(era, revision);
+        changes.append(new ChangeFeed.Batch(List.of(change(version)), version));
+
+        assertThat(changes.after(StoreVersion.of(askedEra, askedRevision)) == null, is(true));
+        assertThat(changes.after(StoreVersion.of(era, START)) == null, is(false));
+    }
+
     /**
      * Guards against a history that fills the heap: 512 configurations of 326 kB took 167 MB. A router that asks for a
      * change that was dropped must get no incomplete history.
