--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChangeFeed.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChangeFeed.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 
 import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.StoreVersion;
 import io.laburnummoor.core.process.ChangeFeed;
 import io.laburnummoor.core.process.StoreReaders;
 import io.laburnummoor.gateway.process.DecisionLog;
@@ -106,11 +107,12 @@
 
     /** Returns the changes that a router knows, or null if it does not answer or cannot be relied on. */
     private @Nullable Batch ask(InetSocketAddress address, long version) {
-        URI uri = URI.create(
-                "http://" + address.getHostString() + ":" + settings.metricsPort() + RelayedChanges.PATH + version);
+        URI uri = URI.create("http://" + address.getHostString() + ":" + settings.metricsPort()
+                + RelayedChanges.targetAfter(version));
         try {
             JsonHttp.Reply reply = http.exchange("GET", uri, null);
-            Batch batch = reply.status() == OK ? RelayedChanges.decode(reply.body()) : null;
+            long era = StoreVersion.eraOf(version);
+            Batch batch = reply.status() == OK ? RelayedChanges.decode(reply.body(), era) : null;
             return batch == null || -batch.currentAtOffsetMillis() > MAX_AGE_MILLIS ? null : batch;
         } catch (IOException unreachable) {
             log.line("relay_unreachable")
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChanges.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChanges.java
@@ -3,25 +3,43 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.laburnummoor.core.StoreVersion;
 import io.laburnummoor.core.process.ChangeFeed;
 import org.jspecify.annotations.Nullable;
 
 /** The message with which a router that reads the store passes its changes on to another router. */
 public final class RelayedChanges {
-    /** Path of the request; the query gives the store version that the other router knows. */
-    public static final String PATH = "/changes?after=";
+    /**
+     * Path of the request; the query gives the revision that the other router knows. Its era follows unless it is 0,
+     * as routers of earlier releases know none.
+     */
+    private static final Pattern TARGET = Pattern.compile("/changes\\?after=([0-9]{1,14})(?:&era=([0-9]{1,5}))?");
+
+    private static final long NO_VERSION = -1;
 
     private RelayedChanges() {}
 
+    /** Returns the request target for the changes after a store version. */
+    public static String targetAfter(long version) {
+        long era = StoreVersion.eraOf(version);
+        return "/changes?after=" + StoreVersion.revisionOf(version) + (era == 0 ? "" : "&era=" + era);
+    }
+
     /** Returns the store version in a request target, or -1 if it is not a request for changes. */
     public static long versionOf(String target) {
-        String version = target.startsWith(PATH) ? target.substring(PATH.length()) : "";
-        return version.matches("[0-9]{1,18}") ? Long.parseLong(version) : -1;
+        Matcher matcher = TARGET.matcher(target);
+        if (!matcher.matches()) {
+            return NO_VERSION;
+        }
+        long era = matcher.group(2) == null ? 0 : StoreVersion.parseEra(matcher.group(2), NO_VERSION);
+        return era == NO_VERSION ? NO_VERSION : StoreVersion.of(era, Long.parseLong(matcher.group(1)));
     }
 
     /**
@@ -31,13 +49,14 @@
      */
     public static byte[] encode(ChangeFeed.Batch batch, long ageMillis) {
         ObjectNode message = JsonNodeFactory.instance.objectNode();
-        message.put("version", batch.version());
+        message.put("era", StoreVersion.eraOf(batch.version()));
+        message.put("version", StoreVersion.revisionOf(batch.version()));
         message.put("age_ms", ageMillis);
         ArrayNode changes = message.putArray("changes");
         for (ChangeFeed.Change each : batch.changes()) {
             ObjectNode change = changes.addObject();
             change.put("key", each.key());
-            change.put("version", each.version());
+            change.put("version", StoreVersion.revisionOf(each.version()));
             if (each.value() != null) {
                 change.put("value", each.value());
             }
@@ -45,10 +64,12 @@
         return message.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    /** Decodes a response, or returns null if it is malformed. */
-    static ChangeFeed.@Nullable Batch decode(JsonNode message) {
+    /** Decodes a response, or returns null if it is malformed or states another era of the store. */
+    static ChangeFeed.@Nullable Batch decode(JsonNode message, long era) {
         long ageMillis = message.path("age_ms").asLong(-1);
-        if (ageMillis < 0 || !message.path("version").isIntegralNumber()) {
+        JsonNode stated = message.path("era");
+        boolean sameEra = stated.isMissingNode() ? era == 0 : stated.isIntegralNumber() && stated.asLong() == era;
+        if (ageMillis < 0 || !message.path("version").isIntegralNumber() || !sameEra) {
             return null;
         }
         List<ChangeFeed.Change> changes = new ArrayList<>();
@@ -59,9 +80,10 @@
             changes.add(new ChangeFeed.Change(
                     each.path("key").asText(),
                     each.path("value").isTextual() ? each.path("value").asText() : null,
-                    each.path("version").asLong()));
+                    StoreVersion.of(era, each.path("version").asLong())));
         }
         // An age of zero would look like a batch that was read from the store.
-        return new ChangeFeed.Batch(changes, message.path("version").asLong(), -Math.max(1, ageMillis));
+        long version = StoreVersion.of(era, message.path("version").asLong());
+        return new ChangeFeed.Batch(changes, version, -Math.max(1, ageMillis));
     }
 }
