--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/process/JsonHttp.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.URI;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -26,6 +27,7 @@
 import org.apache.hc.client5.http.ssl.TlsSocketStrategy;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.io.entity.StringEntity;
@@ -176,8 +178,10 @@
         if (body != null) {
             request.setEntity(new StringEntity(body.toString(), ContentType.APPLICATION_JSON));
         }
-        return call(open ->
-                open.execute(request, response -> new Reply(response.getCode(), readBounded(request, response))));
+        return call(open -> open.execute(
+                request,
+                response ->
+                        new Reply(response.getCode(), readBounded(request, response), List.of(response.getHeaders()))));
     }
 
     private JsonNode execute(HttpUriRequestBase request) throws IOException {
@@ -245,8 +249,18 @@
      *
      * @param status HTTP status
      * @param body document of a success; missing otherwise
+     * @param headers all headers
      */
-    public record Reply(int status, JsonNode body) {}
+    public record Reply(int status, JsonNode body, List<Header> headers) {
+        /** Returns the value of the first header with a name, or null if there is none. */
+        public @Nullable String header(String name) {
+            return headers.stream()
+                    .filter(each -> each.getName().equalsIgnoreCase(name))
+                    .findFirst()
+                    .map(Header::getValue)
+                    .orElse(null);
+        }
+    }
 
     /**
      * Reads one document of a streamed answer.
