--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PromptPartRecorder.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PromptPartRecorder.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 
 import io.laburnummoor.core.Clock;
+import io.laburnummoor.core.StoreVersion;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -33,6 +34,8 @@
     private final Clock clock;
     private final ConcurrentHashMap<String, Stored> storedByKey = new ConcurrentHashMap<>();
     private final Map<String, Long> dueSinceMillis = new HashMap<>();
+    /** Era of the store since its latest restore that this process has seen. */
+    private volatile long era;
 
     /** Creates the recorder of a router that knows the names of the others; the clock is monotonic. */
     public PromptPartRecorder(
@@ -50,6 +53,14 @@
         this.clock = clock;
     }
 
+    /**
+     * Records that the store was restored from an older copy, which started a new era. What the store held before
+     * counts as lost unless it is read again.
+     */
+    public void startEra(long next) {
+        era = next;
+    }
+
     /** Applies a change of the store; a null value means that the key was removed. */
     public void apply(String key, @Nullable String value, long version) {
         if (value == null) {
@@ -67,6 +78,8 @@
      * @throws io.laburnummoor.core.LaburnummoorException with code {@code store_unavailable}
      */
     public void tick() {
+        long current = era;
+        storedByKey.values().removeIf(each -> StoreVersion.eraOf(each.version) < current);
         Map<String, SuspectPromptPart> blockedByKey = new HashMap<>();
         for (SuspectPromptPart each : quarantine.blockedParts()) {
             if (blockedByKey.size() < MAX_DOCUMENTS) {
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/FaultyStore.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/FaultyStore.java
@@ -9,9 +9,13 @@
 
 import io.laburnummoor.core.ErrorCode;
 import io.laburnummoor.core.LaburnummoorException;
+import io.laburnummoor.core.StoreVersion;
 import org.jspecify.annotations.Nullable;
 
-/** An in-memory key-value store whose writes can be lost, be applied without a reply, or be applied late. */
+/**
+ * An in-memory key-value store whose writes can be lost, be applied without a reply, or be applied late, and which can
+ * be restored from an older copy of itself.
+ */
 final class FaultyStore implements KeyValueStore {
     enum WriteFault {
         /** The write takes effect, but its caller gets an exception. */
@@ -29,6 +33,7 @@
     private long revision;
     private long lastLeaseId;
     private long lastExpiredLeaseId;
+    private long era;
     private boolean unavailable;
     private @Nullable Runnable beforeNextWrite;
 
@@ -43,6 +48,33 @@
         leasedKeys.clear();
     }
 
+    /** Returns a copy to restore the store from. */
+    Copy copy() {
+        return new Copy(Map.copyOf(values), Set.copyOf(leasedKeys), revision, lastLeaseId, lastExpiredLeaseId);
+    }
+
+    /** Restores an older copy; revisions and lease ids that were issued since are issued again. */
+    void restore(Copy copy) {
+        era++;
+        values.clear();
+        copy.values.forEach((key, stored) -> values.put(
+                key, new VersionedValue(stored.value(), versionOf(StoreVersion.revisionOf(stored.version())))));
+        leasedKeys.clear();
+        leasedKeys.addAll(copy.leasedKeys);
+        revision = copy.revision;
+        lastLeaseId = copy.lastLeaseId;
+        lastExpiredLeaseId = copy.lastExpiredLeaseId;
+    }
+
+    private long versionOf(long issued) {
+        return StoreVersion.of(era, issued);
+    }
+
+    @Override
+    public long era() {
+        return era;
+    }
+
     /** Returns a number that increases with each write. */
     long revision() {
         return revision;
@@ -106,7 +138,7 @@
 
     @Override
     public boolean keepLeaseAlive(long leaseId) {
-        return leaseId > lastExpiredLeaseId;
+        return leaseId > lastExpiredLeaseId && leaseId <= lastLeaseId;
     }
 
     @Override
@@ -119,13 +151,14 @@
         if ((stored == null ? ABSENT : stored.version()) != expectedVersion) {
             return ABSENT;
         }
-        values.put(key, new VersionedValue(value, ++revision));
+        long version = versionOf(++revision);
+        values.put(key, new VersionedValue(value, version));
         if (leaseId == NO_LEASE) {
             leasedKeys.remove(key);
         } else {
             leasedKeys.add(key);
         }
-        return revision;
+        return version;
     }
 
     private void throwIfUnavailable() {
@@ -137,4 +170,12 @@
     private static LaburnummoorException storeUnavailable() {
         return new LaburnummoorException(ErrorCode.STORE_UNAVAILABLE, "injected store failure");
     }
+
+    /** An earlier state of the store. */
+    record Copy(
+            Map<String, VersionedValue> values,
+            Set<String> leasedKeys,
+            long revision,
+            long lastLeaseId,
+            long lastExpiredLeaseId) {}
 }
--- a/laburnummoor-core/src/test/java/io/laburnummoor/core/process/PromptPartRecorderTest.java
+++ b/laburnummoor-core/src/test/java/io/laburnummoor/core/process/PromptPartRecorderTest.java
@@ -109,6 +109,32 @@
         assertThat(restarted.quarantine.isBlocked(DEADLY), is(true));
     }
 
+    /**
+     * Guards against a blocked part that no router writes again, because its document was lost when the store was
+     * restored from a copy that is older.
+     */
+    @ParameterizedTest(name = "document in the copy: {0}")
+    @ValueSource(booleans = {true, false})
+    void aBlockedPartThatTheStoreLostIsWrittenAgain(boolean inCopy) {
+        Router router = new Router("router-1");
+        FaultyStore.Copy copy = store.copy();
+        crashUntilBlocked(router);
+        runFor(3_000, List.of(router), Router::tick);
+        assertThat("written", store.revision() > 0, is(true));
+        store.restore(inCopy ? store.copy() : copy);
+
+        router.recorder.startEra(store.era());
+        if (inCopy) {
+            router.readStore();
+        }
+        long before = store.revision();
+        runFor(3_000, List.of(router), Router::tick);
+        routers.clear();
+
+        assertThat(new Router("router-2").quarantine.isBlocked(DEADLY), is(true));
+        assertThat(store.revision() - before, is(inCopy ? 0L : 1L));
+    }
+
     @ParameterizedTest(name = "{0} routers")
     @ValueSource(ints = {1, 3, 33})
     void onlyOneRouterWrites(int count) {
