Keep rollouts and their lease across a restore of the store

A lease is renewed only in the era in which it was granted, since its id is given out again. An order that the operator writes again under another revision is the same order, with its counts and step; an order that it had replaced does not come back from the copy. The known step goes before an earlier stored one and is written again by the holder of the lease, or after 3 s by another router that knows it.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ControllerLease.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ControllerLease.java
@@ -7,7 +7,8 @@
  * rollouts; only {@link #holderName()} may be called by others.
  *
  * <p>The lease only reduces contention between routers. A holder that was paused is fenced by the compare-and-swap of
- * each step and by the fencing token of each order.
+ * each step and by the fencing token of each order. A holder whose lease was lost in a restore of the store holds it no
+ * longer as soon as a response states the new era; it is renewed far more often than its time to live.
  */
 public final class ControllerLease {
     /** Key of the controller's name; it expires with the lease. */
@@ -19,7 +20,7 @@
 
     private final KeyValueStore store;
     private final String routerName;
-    private long leaseId = KeyValueStore.NO_LEASE;
+    private GrantedLease lease = GrantedLease.NONE;
     private long fencingToken;
     private boolean held;
     private volatile String holderName = "";
@@ -38,7 +39,7 @@
      */
     public boolean renewOrAcquire() {
         if (held) {
-            held = store.keepLeaseAlive(leaseId);
+            held = lease.renew(store);
         }
         if (!held) {
             held = acquire();
@@ -61,21 +62,34 @@
         holderName = current == null
                 ? ""
                 : current.value().substring(0, current.value().lastIndexOf(' '));
-        if (current == null) {
-            leaseId = store.grantLease(TIME_TO_LIVE_SECONDS);
-            if (store.compareAndSwap(LEASE_KEY, KeyValueStore.ABSENT, leaseValue(), leaseId) == KeyValueStore.ABSENT) {
+        if (current == null || removeOwnOfFormerEra(current)) {
+            lease = GrantedLease.grant(store, TIME_TO_LIVE_SECONDS);
+            if (store.compareAndSwap(LEASE_KEY, KeyValueStore.ABSENT, leaseValue(), lease.id())
+                    == KeyValueStore.ABSENT) {
                 return false;
             }
-        } else if (leaseId == KeyValueStore.NO_LEASE || !current.value().equals(leaseValue())) {
+        } else if (lease.id() == KeyValueStore.NO_LEASE || !current.value().equals(leaseValue())) {
             return false;
         }
         // Also reached if the reply to this router's own compare-and-swap was lost: the lease id identifies its write.
-        return store.keepLeaseAlive(leaseId) && incrementFencingToken();
+        return lease.renew(store) && incrementFencingToken();
+    }
+
+    /**
+     * Removes this router's own key of a former era. It may be bound to the lease of another process that was given the
+     * same id, and would then stay for as long as that process runs.
+     */
+    private boolean removeOwnOfFormerEra(VersionedValue current) {
+        return lease.id() != KeyValueStore.NO_LEASE
+                && !lease.isCurrent(store)
+                && current.value().equals(leaseValue())
+                && store.delete(LEASE_KEY, current.version());
     }
 
     private boolean incrementFencingToken() {
         VersionedValue before = store.get(FENCING_TOKEN_KEY);
-        long next = before == null ? 1 : Long.parseLong(before.value()) + 1;
+        // A restored store may hold an older token than the one that this router had.
+        long next = Math.max(fencingToken, before == null ? 0 : Long.parseLong(before.value())) + 1;
         long expected = before == null ? KeyValueStore.ABSENT : before.version();
         if (store.compareAndSwap(FENCING_TOKEN_KEY, expected, Long.toString(next)) == KeyValueStore.ABSENT) {
             return false;
@@ -85,6 +99,6 @@
     }
 
     private String leaseValue() {
-        return routerName + " " + leaseId;
+        return routerName + " " + lease.id();
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/OrderedRolloutController.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/OrderedRolloutController.java
@@ -13,9 +13,13 @@
  * Advances a gateway's ordered rollouts while this router holds the lease; {@link #tick} is called periodically by one
  * thread. Each step is one compare-and-swap against the step that the decision was based on, so that a router that was
  * paused cannot revert a later step. The status that the operator reads is written after
- * the step; if this router dies in between, the next holder writes it.
+ * the step; if this router dies in between, the next holder writes it. After a restore of the store from an older copy
+ * the holder writes the known step again; if it does not know it, because it started later, another router does.
  */
 public final class OrderedRolloutController {
+    /** Time in which the holder of the lease writes a step again that the store has lost. */
+    static final long HOLDER_RESTORE_MILLIS = 3_000;
+
     private final KeyValueStore store;
     private final OrderedRollouts rollouts;
     private final StepDocuments documents;
@@ -53,8 +57,26 @@
                 open.add(each);
             }
         }
-        if (!open.isEmpty() && lease.renewOrAcquire()) {
+        if (open.isEmpty()) {
+            return;
+        }
+        if (lease.renewOrAcquire()) {
             open.forEach(each -> advance(each, nowMillis));
+        } else {
+            open.stream()
+                    .filter(each -> each.isStoreBehind(nowMillis, HOLDER_RESTORE_MILLIS))
+                    .forEach(this::writeStepAgain);
+        }
+    }
+
+    /** Writes the known step of a rollout whose order the store holds without a step, or with an earlier one. */
+    private void writeStepAgain(ActiveRollout active) {
+        String key = documents.stepKey(active.order().service());
+        VersionedValue stored = store.get(key);
+        RolloutStep found = stored == null ? null : documents.decodeStep(stored.value());
+        if (found == null || (active.isStepOfOrder(found) && found.isBefore(active.step()))) {
+            long expected = stored == null ? KeyValueStore.ABSENT : stored.version();
+            store.compareAndSwap(key, expected, documents.encodeStep(active.step()));
         }
     }
 
@@ -63,14 +85,16 @@
         String key = documents.stepKey(service);
         VersionedValue stored = store.get(key);
         RolloutStep known = stored == null ? null : documents.decodeStep(stored.value());
-        if (known != null && known.orderNumber() > active.order().number()) {
+        if (known != null && known.orderNumber() > active.latestNumber()) {
             // This router has not read the latest order yet; another one already acts on it.
             return;
         }
-        RolloutStep current =
-                known != null && known.orderNumber() == active.order().number()
-                        ? known
-                        : RolloutStep.first(active.order(), known);
+        if (known != null) {
+            rollouts.accept(service, known);
+        }
+        RolloutStep first = RolloutStep.first(active.order(), known);
+        // The known step is behind only if this is the first order of the service that this router knows of.
+        RolloutStep current = active.step().isBefore(first) ? first : active.step();
         RolloutStep next = decide(active, current, nowMillis);
         if (!next.equals(known)) {
             long expected = stored == null ? KeyValueStore.ABSENT : stored.version();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/version/RolloutStep.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/version/RolloutStep.java
@@ -12,6 +12,9 @@
  * @param sharePerMille traffic share of the target version, in thousandths of the new requests
  */
 public record RolloutStep(long orderNumber, String targetVersion, RolloutState.Phase phase, int sharePerMille) {
+    /** Above each traffic share. */
+    private static final int FINAL_PROGRESS = 1_001;
+
     /** Returns the initial state for an order. */
     public static RolloutStep first(RolloutOrder order) {
         return new RolloutStep(order.number(), order.targetVersion(), RolloutState.Phase.RUNNING, 0);
@@ -39,6 +42,27 @@
                 orderNumber, targetVersion, outcome, outcome == RolloutState.Phase.ROLLED_BACK ? 0 : 1_000);
     }
 
+    /** Returns this state under another number of its order. */
+    public RolloutStep withOrderNumber(long number) {
+        return new RolloutStep(number, targetVersion, phase, sharePerMille);
+    }
+
+    /**
+     * Returns whether this state comes before another one of the same order. A rollback counts as the last one, so that
+     * a version that was found bad stays withdrawn.
+     */
+    public boolean isBefore(RolloutStep other) {
+        return progress() < other.progress();
+    }
+
+    private int progress() {
+        return switch (phase) {
+            case RUNNING -> sharePerMille;
+            case COMPLETED, LATE -> FINAL_PROGRESS;
+            case ROLLED_BACK -> FINAL_PROGRESS + 1;
+        };
+    }
+
     /** Returns whether the rollout has its outcome. */
     public boolean isFinal() {
         return phase != RolloutState.Phase.RUNNING;
