--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RouterRegistration.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RouterRegistration.java
@@ -2,6 +2,7 @@
 
 import io.laburnummoor.core.LaburnummoorException;
 import io.laburnummoor.core.Service;
+import io.laburnummoor.core.process.GrantedLease;
 import io.laburnummoor.core.process.KeyValueStore;
 import io.laburnummoor.core.process.KeyValueStore.VersionedValue;
 import io.laburnummoor.core.process.Supervisor;
@@ -9,7 +10,10 @@
 import io.laburnummoor.gateway.process.GatewaySettings;
 import io.laburnummoor.wire.process.PeriodicTask;
 
-/** Registers this router in the store, under a lease that expires when the process dies. */
+/**
+ * Registers this router in the store, under a lease that expires when the process dies. A registration that was lost in
+ * a restore of the store is written again at the next renewal.
+ */
 public final class RouterRegistration implements Service {
     /** Prefix of the keys. The rest of a key is the name of the router, and its value is the router's UDP address. */
     public static final String KEY_PREFIX = "laburnummoor/routers/";
@@ -23,7 +27,7 @@
     private final String address;
     private final DecisionLog log;
     private final PeriodicTask renewal;
-    private long leaseId = KeyValueStore.NO_LEASE;
+    private GrantedLease lease = GrantedLease.NONE;
     private boolean registered;
 
     public RouterRegistration(KeyValueStore store, GatewaySettings settings, DecisionLog log, Supervisor supervisor) {
@@ -46,13 +50,14 @@
 
     private void renew() {
         try {
-            if (registered && store.keepLeaseAlive(leaseId)) {
+            if (registered && lease.renew(store)) {
                 return;
             }
             registered = register();
             log.line("router_registered")
                     .flag("registered", registered)
-                    .number("lease", leaseId)
+                    .number("lease", lease.id())
+                    .number("store_era", lease.era())
                     .write();
         } catch (LaburnummoorException unavailable) {
             log.line("router_not_registered")
@@ -62,9 +67,10 @@
     }
 
     private boolean register() {
-        leaseId = store.grantLease(LEASE_SECONDS);
         VersionedValue before = store.get(key);
+        lease = GrantedLease.grant(store, LEASE_SECONDS);
         long expected = before == null ? KeyValueStore.ABSENT : before.version();
-        return store.compareAndSwap(key, expected, address, leaseId) != KeyValueStore.ABSENT;
+        boolean written = store.compareAndSwap(key, expected, address, lease.id()) != KeyValueStore.ABSENT;
+        return written && lease.isCurrent(store);
     }
 }
