Log and count each new era of the store

The owners of stored data learn that the store may lack their latest writes, and upstreams whose entries are missing stay in use as after an outage.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -73,6 +73,10 @@
             .help("Calls to the platform's key-value service by result.")
             .labelNames("result")
             .register(registry);
+    private final Counter storeRestores = Counter.builder()
+            .name("laburnummoor_store_restores_total")
+            .help("New eras of the platform's key-value service, which was restored from an older copy each time.")
+            .register(registry);
 
     private final NamedSeries<CounterDataPoint> requestsByRoute = new NamedSeries<>(requests, MAX_SERIES);
     private final NamedSeries<CounterDataPoint> attemptsByService = new NamedSeries<>(attempts, MAX_SERIES);
@@ -135,6 +139,11 @@
         storeCalls.labelValues(succeeded ? "ok" : "failed").inc();
     }
 
+    /** Counts a new era of the store. */
+    public void storeRestored() {
+        storeRestores.inc();
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public byte[] toText() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RolloutFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RolloutFollower.java
@@ -25,6 +25,11 @@
         this.clock = clock;
     }
 
+    /** Records that the store was restored from an older copy and may lack steps and results. */
+    void onStoreRestored() {
+        rollouts.forgetStored(clock.nowMillis());
+    }
+
     /** Applies a change of any key; keys that do not belong to rollouts are ignored. */
     void apply(ChangeFeed.Change change) {
         String value = change.value();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -49,6 +49,7 @@
     private final String routerName;
     private final RolloutFollower rolloutFollower;
     private final PromptPartRecorder promptPartRecorder;
+    private final StoreRestores restores;
     /** Versions of the entries in the latest complete read of the list, by key. */
     private Map<String, Long> readVersions = Map.of();
     /** Latest batch that was applied; its version is the one that is known of the store. */
@@ -71,6 +72,7 @@
         this.routerName = routerName;
         this.rolloutFollower = rolloutFollower;
         this.promptPartRecorder = promptPartRecorder;
+        this.restores = new StoreRestores(rolloutFollower, promptPartRecorder, log, metrics);
         this.feed = feed;
         this.documents = documents;
         this.state = state;
@@ -173,6 +175,10 @@
         forgetVersion();
         ChangeFeed.Batch config = feed.readAll(documents.configPrefix());
         ChangeFeed.Batch listed = feed.readAll(documents.instancePrefix());
+        if (restores.recordRead(Math.min(config.version(), listed.version()))) {
+            // Upstreams whose entries were lost with the latest writes are listed again, as after an outage.
+            registry.recordStoreUnavailable(clock.nowMillis());
+        }
         apply(config.changes());
         addressByRouter.clear();
         for (String prefix : documents.sharedPrefixes()) {
