--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -78,6 +78,10 @@
             .help("Calls to the platform's key-value service by result.")
             .labelNames("result")
             .register(registry);
+    private final Counter storeRestores = Counter.builder()
+            .name("laburnummoor_store_restores_total")
+            .help("New eras of the platform's key-value service, which was restored from an older copy each time.")
+            .register(registry);
 
     private final Gauge upstreamPace = Gauge.builder()
             .name("laburnummoor_upstream_pace")
@@ -167,6 +171,11 @@
         storeCalls.labelValues(succeeded ? "ok" : "failed").inc();
     }
 
+    /** Counts a new era of the store. */
+    public void storeRestored() {
+        storeRestores.inc();
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public byte[] toText() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
