Do not deliver a part of a response without length as complete

What callers saw: the stand-alone router's client of plain services (PlainServiceClient) reported the part of a response that an upstream had sent before it ended the connection, without having read the upload, as a complete 200. The gateway did so when its event loops stopped while such a response was under way.

Cause: a response without a length ends with its connection. The asynchronous HTTP client reads an end that comes while the request is still being written, and completes the response; an upstream written in Java sends an ordinary end before its reset. In the gateway, the close of a channel by its stopping event loop looks like one by the upstream. The reported case, a reset or an end while the gateway still writes, was found to be detected: Netty fails the pending write before it reports the end. It did not rest on a check of ours.

Fix: UpstreamConnection completes such a response only if the request is written, nothing failed and the event loop is not stopping. RequestBody tells PlainServiceClient whether the upload was written; if not, a response that ends with its connection makes the call a lost one. A response with a length or in chunks is delivered as before, and so is one that ends after the upload was read. HttpEngineClient needs no change, since its streams end with an event of their own.

Not mended: an upload that the kernel has taken completely may not have been read by the upstream.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -306,11 +306,25 @@
             bodyTail = lengthDelimited ? UpstreamResponseDecoder.tailOf(bytes) : "";
             current.onContent(bytes);
         }
-        if (last && !(closeDelimited && failed)) {
+        if (last && closeDelimited && !isClosedInOrder()) {
+            fail("connection did not end in order");
+        } else if (last) {
             complete();
         }
     }
 
+    /**
+     * Returns whether a response that ends with its connection is complete: the upstream has closed it without an error
+     * and has had the whole request. An event loop that stops closes its connections, too.
+     */
+    private boolean isClosedInOrder() {
+        Channel target = channel;
+        return !failed
+                && isRequestWritten()
+                && target != null
+                && !target.eventLoop().isShuttingDown();
+    }
+
     private void complete() {
         UpstreamListener current = listener;
         if (current == null) {
--- a/laburnummoor-wire/src/main/java/io/laburnummoor/wire/request/PlainServiceClient.java
+++ b/laburnummoor-wire/src/main/java/io/laburnummoor/wire/request/PlainServiceClient.java
@@ -14,6 +14,7 @@
 import org.apache.hc.client5.http.async.methods.SimpleHttpRequest;
 import org.apache.hc.client5.http.async.methods.SimpleHttpResponse;
 import org.apache.hc.client5.http.async.methods.SimpleRequestBuilder;
+import org.apache.hc.client5.http.async.methods.SimpleResponseConsumer;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
@@ -21,12 +22,14 @@
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
-import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.nio.support.BasicRequestProducer;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Forwards calls to plain services.
@@ -72,19 +75,18 @@
                         .setConnectionRequestTimeout(CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                         .setResponseTimeout(Timeout.ofMilliseconds(Math.max(1, timeoutMillis)))
                         .build());
-        String contentType = request.headers().get("Content-Type");
-        if (request.body().length > 0) {
-            builder.setBody(
-                    request.body(),
-                    contentType == null ? ContentType.APPLICATION_OCTET_STREAM : ContentType.parseLenient(contentType));
-        }
         request.headers().forEach((name, value) -> {
             if (!name.equals("Content-Type")) {
                 builder.setHeader(name, value);
             }
         });
         SimpleHttpRequest message = builder.build();
-        (idempotent ? reusing : single).execute(message, new ListenerCallback(listener));
+        RequestBody body = RequestBody.of(request);
+        (idempotent ? reusing : single)
+                .execute(
+                        new BasicRequestProducer(message, body),
+                        SimpleResponseConsumer.create(),
+                        new ListenerCallback(listener, body));
     }
 
     private static CloseableHttpAsyncClient build(boolean reuseConnections) {
@@ -134,14 +136,26 @@
 
     private static final class ListenerCallback implements FutureCallback<SimpleHttpResponse> {
         private final PlainCallListener listener;
+        private final @Nullable RequestBody body;
 
-        ListenerCallback(PlainCallListener listener) {
+        ListenerCallback(PlainCallListener listener, @Nullable RequestBody body) {
             this.listener = listener;
+            this.body = body;
         }
 
         @Override
         public void completed(SimpleHttpResponse response) {
-            listener.onResponse(decode(response));
+            if (body != null && !body.isWritten() && endsWithConnection(response)) {
+                listener.onLost("the connection ended before the request was written");
+            } else {
+                listener.onResponse(decode(response));
+            }
+        }
+
+        private static boolean endsWithConnection(SimpleHttpResponse response) {
+            return response.getBody() != null
+                    && !response.containsHeader(HttpHeaders.CONTENT_LENGTH)
+                    && !response.containsHeader(HttpHeaders.TRANSFER_ENCODING);
         }
 
         @Override
--- a/laburnummoor-wire/src/test/java/io/laburnummoor/wire/request/BrokenResponseTest.java
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/request/BrokenResponseTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,11 @@
 final class BrokenResponseTest {
     private static final long CALL_SECONDS = 5;
     private static final int TIMEOUT_MILLIS = 2_000;
+    /** More than the kernel takes for a connection on loopback. */
+    private static final int MAX_KERNEL_BYTES = 16 << 20;
+    /** Longer than a client takes to read what the server has written. */
+    private static final long READ_MILLIS = 50;
+
     private static final String NONE = "no response";
     private static final String GOOD = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
 
@@ -91,15 +97,41 @@
     @ParameterizedTest(name = "{0}, status {1}")
     @MethodSource("statuses")
     void aStatusOutOfRangeIsNoResponse(String client, String status) throws Exception {
-        try (ScriptedServer server = new ScriptedServer(GOOD.replace("200", status), Ending.CLOSED)) {
+        try (ScriptedServer server = new ScriptedServer(GOOD.replace("200", status), Ending.CLOSED_AFTER_READ)) {
             assertThat(call(client, server.port(), 1), is(NONE));
         }
     }
 
-    /** What the server does when it has written. */
+    static Stream<Arguments> endings() {
+        return Stream.of("json", "idempotent", "single")
+                .flatMap(client -> Stream.of(1, 4 << 20, 32 << 20).flatMap(bytes -> Arrays.stream(Ending.values())
+                        // Bytes that the kernel has taken may have been read or not.
+                        .filter(ending -> !ending.unread || bytes > MAX_KERNEL_BYTES)
+                        .map(ending -> Arguments.of(client, bytes, ending))));
+    }
+
+    @ParameterizedTest(name = "{0}, {1} bytes, {2}")
+    @MethodSource("endings")
+    void aResponseWithoutLengthIsCompleteOnlyAfterAnOrderlyEnd(String client, int bodyBytes, Ending ending)
+            throws Exception {
+        try (ScriptedServer server = new ScriptedServer("HTTP/1.1 200 OK\r\n\r\n1", ending)) {
+            assertThat(call(client, server.port(), bodyBytes), is(ending == Ending.CLOSED_AFTER_READ ? "200 1" : NONE));
+        }
+    }
+
+    /** How the server ends a connection on which it has responded. */
     private enum Ending {
-        CLOSED,
-        RESET
+        RESET(false),
+        /** Without a reset as long as the peer has not read the end. */
+        CLOSED_UNREAD(true),
+        HALF_CLOSED(true),
+        CLOSED_AFTER_READ(false);
+
+        private final boolean unread;
+
+        Ending(boolean unread) {
+            this.unread = unread;
+        }
     }
 
     /** Reads the head of one request, writes a text and ends the connection. */
@@ -127,9 +159,17 @@
                 while (head.indexOf("\r\n\r\n") < 0) {
                     head.append((char) in.read());
                 }
+                if (ending == Ending.CLOSED_AFTER_READ) {
+                    in.readNBytes(Integer.parseInt(head.toString().replaceAll("(?s).*Content-Length: |\r.*", "")));
+                }
                 socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+                Thread.sleep(READ_MILLIS);
+                if (ending == Ending.HALF_CLOSED) {
+                    socket.shutdownOutput();
+                    Thread.sleep(TIMEOUT_MILLIS);
+                }
                 socket.setSoLinger(ending == Ending.RESET, 0);
-            } catch (IOException ended) {
+            } catch (IOException | InterruptedException ended) {
                 // The client or the test has ended.
             }
         }
