Reject responses with two lengths or an unknown transfer coding

What callers saw: a 200 whose body held bytes in a transfer coding that nobody decodes (gzip, or chunks within chunks), and a 200 for a response with a length beside chunks, where it is not known which of the two the upstream meant.

Cause: Netty removes the length beside chunks, and takes any Transfer-Encoding that lists "chunked" for chunks alone and any other one for none.

Fix: UpstreamResponseDecoder rejects a length beside chunks as a malformed head, and UpstreamConnection accepts no transfer coding but "chunked". Such an attempt is lost: it is retried where that is allowed, and answered with 502 otherwise.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -254,6 +254,10 @@
             fail("bytes are no answer");
             return;
         }
+        if (!UpstreamResponseDecoder.isFramingSupported(response)) {
+            fail("transfer coding is not supported");
+            return;
+        }
         if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             fail("switch to another protocol");
             return;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamResponseDecoder.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamResponseDecoder.java
@@ -1,11 +1,14 @@
 package io.laburnummoor.gateway.connection;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -73,6 +76,19 @@
         return super.createMessage(initialLine);
     }
 
+    /** Rejects a response with two lengths: it is not known which one the upstream meant, nor where the next begins. */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("length beside chunks");
+    }
+
+    /** Returns whether the body is sent as it is or in chunks; another coding would reach the caller undecoded. */
+    static boolean isFramingSupported(HttpResponse response) {
+        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.isEmpty()
+                || codings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0));
+    }
+
     /** Returns whether the message has no body whatever its headers say. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
