Detect a reset behind the ordinary end of a response

What callers saw: a part of a response without a length as a complete 200, where the upstream ended the connection without having read an upload that the gateway's kernel had already taken.

Cause: an upstream that closes a socket with unread bytes resets the connection; one written in Java sends an ordinary end first. After that end, reading never reports the reset.

Other responses take the same path as before.

Left open: an upstream that only half closes a connection and never reads an upload that the kernel has taken cannot be told from one that has read it.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -45,6 +45,7 @@
     private @Nullable ChannelFuture written;
     private boolean reusable;
     private boolean closeDelimited;
+    private boolean bodySent;
     private boolean lengthDelimited;
     /** Last bytes of a body with a length, which may break off in the beginning of another response. */
     private String bodyTail = "";
@@ -89,6 +90,7 @@
         openRequestId = requestId;
         reusable = false;
         closeDelimited = false;
+        bodySent = request.content().isReadable();
         bodyTail = "";
         decoder.expectResponseTo(request.method());
         if (target == null || !target.isActive()) {
@@ -279,12 +281,14 @@
             return;
         }
         headReceived = true;
-        boolean framed = HttpUtil.isTransferEncodingChunked(response)
-                || HttpUtil.isContentLengthSet(response)
-                || decoder.isContentAlwaysEmpty(response);
-        closeDelimited = !framed;
+        closeDelimited = !HttpUtil.isTransferEncodingChunked(response)
+                && !HttpUtil.isContentLengthSet(response)
+                && !decoder.isContentAlwaysEmpty(response);
+        if (closeDelimited && bodySent && channel != null) {
+            channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        }
         lengthDelimited = HttpUtil.isContentLengthSet(response);
-        reusable = framed && HttpUtil.isKeepAlive(response);
+        reusable = !closeDelimited && HttpUtil.isKeepAlive(response);
         UpstreamListener current = listener;
         if (current != null) {
             current.onHead(response);
@@ -312,11 +316,21 @@
         }
         if (last && closeDelimited && !isClosedInOrder()) {
             fail("connection did not end in order");
+        } else if (last && closeDelimited && bodySent && channel != null) {
+            ResetCheck.schedule(channel, reset -> onResetChecked(current, reset));
         } else if (last) {
             complete();
         }
     }
 
+    private void onResetChecked(@Nullable UpstreamListener checked, boolean reset) {
+        if (listener == checked && reset) {
+            fail("connection was reset after its end");
+        } else if (listener == checked) {
+            complete();
+        }
+    }
+
     /**
      * Returns whether a response that ends with its connection is complete: the upstream has closed it without an error
      * and has had the whole request. An event loop that stops closes its connections, too.
--- a/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/EarlyResponseTest.java
+++ b/laburnummoor-gateway/src/test/java/io/laburnummoor/gateway/connection/EarlyResponseTest.java
@@ -161,8 +161,8 @@
     private enum Ending {
         KEPT(false),
         RESET(false),
-        /** Without a reset as long as the peer has not read the end. */
-        CLOSED_UNREAD(true),
+        /** An ordinary end, and a reset behind it. */
+        CLOSED_UNREAD(false),
         HALF_CLOSED(true),
         CLOSED_AFTER_READ(false);
 
