--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/connection/UpstreamConnection.java
@@ -45,6 +45,7 @@
     private @Nullable ChannelFuture written;
     private boolean reusable;
     private boolean closeDelimited;
+    private boolean bodySent;
     private boolean lengthDelimited;
     /** Last bytes of a body with a length, which may break off in the beginning of another response. */
     private String bodyTail = "";
@@ -89,6 +90,7 @@
         openRequestId = requestId;
         reusable = false;
         closeDelimited = false;
+        bodySent = request.content().isReadable();
         bodyTail = "";
         decoder.expectResponseTo(request.method());
         if (target == null || !target.isActive()) {
@@ -254,6 +256,10 @@
             fail("bytes are no answer");
             return;
         }
+        if (!UpstreamResponseDecoder.isFramingSupported(response)) {
+            fail("transfer coding is not supported");
+            return;
+        }
         if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             fail("switch to another protocol");
             return;
@@ -275,12 +281,14 @@
             return;
         }
         headReceived = true;
-        boolean framed = HttpUtil.isTransferEncodingChunked(response)
-                || HttpUtil.isContentLengthSet(response)
-                || decoder.isContentAlwaysEmpty(response);
-        closeDelimited = !framed;
+        closeDelimited = !HttpUtil.isTransferEncodingChunked(response)
+                && !HttpUtil.isContentLengthSet(response)
+                && !decoder.isContentAlwaysEmpty(response);
+        if (closeDelimited && bodySent && channel != null) {
+            channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        }
         lengthDelimited = HttpUtil.isContentLengthSet(response);
-        reusable = framed && HttpUtil.isKeepAlive(response);
+        reusable = !closeDelimited && HttpUtil.isKeepAlive(response);
         UpstreamListener current = listener;
         if (current != null) {
             current.onHead(response);
@@ -306,11 +314,35 @@
             bodyTail = lengthDelimited ? UpstreamResponseDecoder.tailOf(bytes) : "";
             current.onContent(bytes);
         }
-        if (last && !(closeDelimited && failed)) {
+        if (last && closeDelimited && !isClosedInOrder()) {
+            fail("connection did not end in order");
+        } else if (last && closeDelimited && bodySent && channel != null) {
+            ResetCheck.schedule(channel, reset -> onResetChecked(current, reset));
+        } else if (last) {
+            complete();
+        }
+    }
+
+    private void onResetChecked(@Nullable UpstreamListener checked, boolean reset) {
+        if (listener == checked && reset) {
+            fail("connection was reset after its end");
+        } else if (listener == checked) {
             complete();
         }
     }
 
+    /**
+     * Returns whether a response that ends with its connection is complete: the upstream has closed it without an error
+     * and has had the whole request. An event loop that stops closes its connections, too.
+     */
+    private boolean isClosedInOrder() {
+        Channel target = channel;
+        return !failed
+                && isRequestWritten()
+                && target != null
+                && !target.eventLoop().isShuttingDown();
+    }
+
     private void complete() {
         UpstreamListener current = listener;
         if (current == null) {
