Ask other routers for a newer configuration after a restore of the store

A router that starts before the operator has written its configuration again read an older one only and accepted keys that were revoked since. The other routers keep the document in force and pass it on.

--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -116,6 +116,13 @@
 
     private StatusEndpoint.Reply internalReply(String target) {
         long version = RelayedChanges.versionOf(target);
+        long configVersion = RelayedChanges.configVersionOf(target);
+        if (configVersion >= 0) {
+            ChangeFeed.Change newer = context.state().configChangeNewerThan(configVersion);
+            return newer == null
+                    ? new StatusEndpoint.Reply(HttpResponseStatus.GONE, EMPTY)
+                    : new StatusEndpoint.Reply(HttpResponseStatus.OK, RelayedChanges.encodeEntry(newer));
+        }
         if (version < 0) {
             return new StatusEndpoint.Reply(
                     HttpResponseStatus.OK, context.metrics().toText());
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -11,6 +11,7 @@
 
 import io.laburnummoor.core.Snapshot;
 import io.laburnummoor.core.process.BufferBudget;
+import io.laburnummoor.core.process.ChangeFeed;
 import io.laburnummoor.core.process.InstanceTable;
 import io.laburnummoor.core.process.RecentChanges;
 import io.laburnummoor.core.process.StreamDurationEstimator;
@@ -30,6 +31,9 @@
     private static final int HEAP_PART_FOR_REQUESTS = 4;
 
     private final AtomicReference<@Nullable ForwardConfig> config = new AtomicReference<>();
+    /** Entry of the store that holds the configuration in force, kept for other routers. */
+    private final AtomicReference<ChangeFeed.@Nullable Change> configChange = new AtomicReference<>();
+
     private final Snapshot<InstanceTable> instances = new Snapshot<>(InstanceTable.EMPTY);
     private final CountDownLatch initialized = new CountDownLatch(1);
     private final AtomicLong stoppedAtMillis = new AtomicLong(RUNNING);
@@ -65,6 +69,17 @@
         config.set(next);
     }
 
+    /** Records the entry of the store that holds the current configuration. */
+    public void recordConfigChange(ChangeFeed.Change change) {
+        configChange.set(change);
+    }
+
+    /** Returns the entry of the current configuration, or null if its version is not above the given one. */
+    public ChangeFeed.@Nullable Change configChangeNewerThan(long configVersion) {
+        ForwardConfig current = config.get();
+        return current == null || current.version() <= configVersion ? null : configChange.get();
+    }
+
     public InstanceTable instances() {
         return instances.get();
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChangeFeed.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChangeFeed.java
@@ -6,11 +6,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.StoreVersion;
 import io.laburnummoor.core.process.ChangeFeed;
+import io.laburnummoor.core.process.RendezvousHash;
 import io.laburnummoor.core.process.StoreReaders;
+import io.laburnummoor.core.version.ForwardConfig;
 import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewaySettings;
 import io.laburnummoor.gateway.process.GatewayState;
@@ -19,7 +23,9 @@
 
 /**
  * Reads changes from another router that reads the store, and from the store itself if this router is one of those, or
- * if the other router does not answer, lags behind or lacks the history. Used by the store thread only.
+ * if the other router does not answer, lags behind or lacks the history. After a complete read of a store that was
+ * restored from an older copy, other routers are asked for a newer configuration, since this router may have started
+ * too late to have read it. Used by the store thread only.
  */
 public final class RelayedChangeFeed implements ChangeFeed {
     /** Timeout of the client for other routers; round trips take a few milliseconds. */
@@ -43,6 +49,8 @@
     private Map<String, InetSocketAddress> rankedPeers = Map.of();
     private List<String> sources = List.of();
     private String source = "";
+    private boolean configDue;
+    private long completeReadMillis;
 
     /**
      * Creates a feed.
@@ -67,12 +75,21 @@
 
     @Override
     public Batch readAll(String prefix) {
+        configDue = true;
+        completeReadMillis = clock.nowMillis();
         return store.readAll(prefix);
     }
 
     @Override
     public @Nullable Batch changesAfter(String prefix, long version, long waitMillis) {
         Map<String, InetSocketAddress> peers = state.peers();
+        if (configDue && StoreVersion.eraOf(version) > 0 && !peers.isEmpty()) {
+            configDue = false;
+            Batch newer = readNewerConfig(peers, version);
+            if (newer != null) {
+                return newer;
+            }
+        }
         rankSources(peers);
         long now = clock.nowMillis();
         avoidedUntilMillis.values().removeIf(until -> until <= now);
@@ -97,6 +114,23 @@
         return store.changesAfter(prefix, version, waitMillis);
     }
 
+    /** Returns a batch with the configuration of another router if it is newer than the known one, otherwise null. */
+    private @Nullable Batch readNewerConfig(Map<String, InetSocketAddress> peers, long version) {
+        ForwardConfig known = state.config();
+        String target = RelayedChanges.configTargetNewerThan(known == null ? 0 : known.version());
+        List<String> ranked = RendezvousHash.rank(settings.name(), peers.keySet(), name -> name);
+        for (String each : ranked.subList(0, Math.min(MAX_SOURCES, ranked.size()))) {
+            JsonNode answer = exchange(Objects.requireNonNull(peers.get(each)), target);
+            Change newer = answer == null ? null : RelayedChanges.decodeEntry(answer, version);
+            if (newer != null) {
+                log.line("config_read_from").text("source", each).write();
+                // The store was last read before this call, so the batch confirms no later moment.
+                return new Batch(List.of(newer), version, -Math.max(1, clock.nowMillis() - completeReadMillis));
+            }
+        }
+        return null;
+    }
+
     /** Ranks the sources again when the published list of peers was replaced, which is far rarer than calls are. */
     private void rankSources(Map<String, InetSocketAddress> peers) {
         if (peers != rankedPeers) {
@@ -107,13 +141,17 @@
 
     /** Returns the changes that a router knows, or null if it does not answer or cannot be relied on. */
     private @Nullable Batch ask(InetSocketAddress address, long version) {
-        URI uri = URI.create("http://" + address.getHostString() + ":" + settings.metricsPort()
-                + RelayedChanges.targetAfter(version));
+        JsonNode answer = exchange(address, RelayedChanges.targetAfter(version));
+        Batch batch = answer == null ? null : RelayedChanges.decode(answer, StoreVersion.eraOf(version));
+        return batch == null || -batch.currentAtOffsetMillis() > MAX_AGE_MILLIS ? null : batch;
+    }
+
+    /** Returns the document that a router answers with, or null if it has none or does not answer. */
+    private @Nullable JsonNode exchange(InetSocketAddress address, String target) {
+        URI uri = URI.create("http://" + address.getHostString() + ":" + settings.metricsPort() + target);
         try {
             JsonHttp.Reply reply = http.exchange("GET", uri, null);
-            long era = StoreVersion.eraOf(version);
-            Batch batch = reply.status() == OK ? RelayedChanges.decode(reply.body(), era) : null;
-            return batch == null || -batch.currentAtOffsetMillis() > MAX_AGE_MILLIS ? null : batch;
+            return reply.status() == OK ? reply.body() : null;
         } catch (IOException unreachable) {
             log.line("relay_unreachable")
                     .text("address", address.toString())
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChanges.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/RelayedChanges.java
@@ -22,6 +22,9 @@
      */
     private static final Pattern TARGET = Pattern.compile("/changes\\?after=([0-9]{1,14})(?:&era=([0-9]{1,5}))?");
 
+    /** Path of the request for a newer configuration; the query gives the version of the known one. */
+    private static final Pattern CONFIG_TARGET = Pattern.compile("/config\\?newer_than=([0-9]{1,18})");
+
     private static final long NO_VERSION = -1;
 
     private RelayedChanges() {}
@@ -42,6 +45,35 @@
         return era == NO_VERSION ? NO_VERSION : StoreVersion.of(era, Long.parseLong(matcher.group(1)));
     }
 
+    /** Returns the request target for a configuration with a higher version than the given one. */
+    static String configTargetNewerThan(long configVersion) {
+        return "/config?newer_than=" + Math.max(0, configVersion);
+    }
+
+    /** Returns the version of the known configuration in a request target, or -1 if it asks for something else. */
+    public static long configVersionOf(String target) {
+        Matcher matcher = CONFIG_TARGET.matcher(target);
+        return matcher.matches() ? Long.parseLong(matcher.group(1)) : NO_VERSION;
+    }
+
+    /** Encodes an entry of the store without its version, which another router may not compare with its own. */
+    public static byte[] encodeEntry(ChangeFeed.Change change) {
+        ObjectNode message = JsonNodeFactory.instance.objectNode();
+        message.put("key", change.key());
+        message.put("value", change.value());
+        return message.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Decodes an entry as one of the given version, or returns null if it is malformed. */
+    static ChangeFeed.@Nullable Change decodeEntry(JsonNode message, long version) {
+        boolean complete =
+                message.path("key").isTextual() && message.path("value").isTextual();
+        return complete
+                ? new ChangeFeed.Change(
+                        message.path("key").asText(), message.path("value").asText(), version)
+                : null;
+    }
+
     /**
      * Encodes a response.
      *
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/version/StoreFollower.java
@@ -260,6 +260,7 @@
             return;
         }
         state.replaceConfig(read);
+        state.recordConfigChange(change);
         metrics.retainNames(read.routeNames(), read.serviceNames());
         log.line("config_in_force")
                 .number("config_version", read.version())
