--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -190,6 +190,7 @@
                     estimate,
                     head.promptTokens(),
                     isLong ? head.totalTokens() : 0,
+                    !fromBackup && head.lastEventId() == 0,
                     attempt.startedAtMillis()));
         }
         return attempt;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptTiming.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptTiming.java
@@ -16,6 +16,7 @@
     private final ExpectedTime.Estimate expected;
     private final long promptTokens;
     private final long longPromptTokens;
+    private final boolean prefillsPrompt;
     private final long startedAtMillis;
     private long firstEventMillis;
     private boolean prefillDone;
@@ -26,6 +27,8 @@
      * Creates the timing of an attempt that starts now.
      *
      * @param longPromptTokens tokens that count as those of a long prompt on the upstream until the first event
+     * @param prefillsPrompt whether the upstream prefills the prompt; a run that resumes from a backup takes some
+     *     milliseconds to its first event, which would count as a prefill rate of hundreds of tokens a millisecond
      */
     AttemptTiming(
             ExpectedTime expectedTime,
@@ -33,12 +36,14 @@
             ExpectedTime.Estimate expected,
             long promptTokens,
             long longPromptTokens,
+            boolean prefillsPrompt,
             long startedAtMillis) {
         this.expectedTime = expectedTime;
         this.target = target;
         this.expected = expected;
         this.promptTokens = promptTokens;
         this.longPromptTokens = longPromptTokens;
+        this.prefillsPrompt = prefillsPrompt;
         this.startedAtMillis = startedAtMillis;
         target.addLongPrefillTokens(longPromptTokens);
     }
@@ -57,7 +62,9 @@
 
     void firstEvent(long nowMillis) {
         firstEventMillis = nowMillis;
-        expectedTime.recordFirstEvent(target, expected, promptTokens, nowMillis - startedAtMillis, nowMillis);
+        if (prefillsPrompt) {
+            expectedTime.recordFirstEvent(target, expected, promptTokens, nowMillis - startedAtMillis, nowMillis);
+        }
     }
 
     void streamEnded(long nowMillis) {
@@ -78,7 +85,7 @@
     /** Records that the attempt is given up for another one. */
     void abandoned(long nowMillis) {
         abandonedAlive = !unreachable && nowMillis - target.lastSeenMillis() <= ALIVE_MILLIS;
-        if (firstEventMillis == 0) {
+        if (firstEventMillis == 0 && prefillsPrompt) {
             expectedTime.recordAbandoned(target, expected, nowMillis - startedAtMillis, nowMillis);
         }
     }
