List the unread upload behind an orderly end in the router's clients as known to fail

The clients of the stand-alone router report a part of a response as complete if the upstream closes its socket without having read an upload that the kernel has taken. A reset behind an ordinary end is not visible to the blocking and asynchronous HTTP clients in use.

--- a/laburnummoor-wire/src/test/java/io/laburnummoor/wire/request/BrokenResponseTest.java
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/request/BrokenResponseTest.java
@@ -17,9 +17,11 @@
 import io.laburnummoor.core.connection.Upstream;
 import io.laburnummoor.wire.process.JsonHttp;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -119,6 +121,14 @@
         }
     }
 
+    /** The rows that {@code KNOWN-RED.txt} names: the kernel has taken the upload, and a reset follows the end. */
+    @Tag("known-red")
+    @ParameterizedTest(name = "{0}")
+    @ValueSource(strings = {"json", "idempotent", "single"})
+    void aResponseIsNotCompleteIfAResetFollowsItsEnd(String client) throws Exception {
+        aResponseWithoutLengthIsCompleteOnlyAfterAnOrderlyEnd(client, 1, Ending.CLOSED_UNREAD);
+    }
+
     /** How the server ends a connection on which it has responded. */
     private enum Ending {
         RESET(false),
