Add the decisions of the waiting queue: order, predicted start, refusal

DeficitRoundRobin computes the rounds up to the next item instead of walking through them, takes an order for the items of one key and can be nested, so that the scheduler of the stand-alone router and the waiting queue share it.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AdmissionScheduler.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/AdmissionScheduler.java
@@ -284,7 +284,7 @@
          * as often as this caller has requests waiting.
          */
         long aheadInOrganisation(AdmissionTicket ticket) {
-            DeficitRoundRobin<AdmissionTicket> callers =
+            DeficitRoundRobin<AdmissionTicket, FifoQueue<AdmissionTicket>> callers =
                     classQueue(ticket.priority()).byOrganisation.get(ticket.organisation());
             if (callers == null) {
                 return 0;
@@ -327,24 +327,27 @@
 
     /** The waiting requests of one priority class, served round robin by organisation. */
     private final class ClassQueue {
-        private final Map<String, DeficitRoundRobin<AdmissionTicket>> byOrganisation = new LinkedHashMap<>();
+        private final Map<String, DeficitRoundRobin<AdmissionTicket, FifoQueue<AdmissionTicket>>> byOrganisation =
+                new LinkedHashMap<>();
         private int size;
 
         void add(AdmissionTicket ticket) {
             byOrganisation
                     .computeIfAbsent(
                             ticket.organisation(),
-                            added -> new DeficitRoundRobin<>(QUANTUM_TOKENS, AdmissionTicket::tokens))
-                    .offer(ticket.caller(), ticket);
+                            added -> new DeficitRoundRobin<>(
+                                    QUANTUM_TOKENS, AdmissionTicket::tokens, AdmissionTicket::caller, FifoQueue::new))
+                    .add(ticket);
             size++;
         }
 
         void remove(AdmissionTicket ticket) {
-            DeficitRoundRobin<AdmissionTicket> callers = byOrganisation.get(ticket.organisation());
+            DeficitRoundRobin<AdmissionTicket, FifoQueue<AdmissionTicket>> callers =
+                    byOrganisation.get(ticket.organisation());
             if (callers == null) {
                 return;
             }
-            callers.remove(ticket.caller(), ticket);
+            callers.remove(ticket);
             size--;
             if (callers.size() == 0) {
                 byOrganisation.remove(ticket.organisation());
@@ -356,12 +359,13 @@
          */
         @Nullable
         AdmissionTicket poll(long nowMillis) {
-            for (Map.Entry<String, DeficitRoundRobin<AdmissionTicket>> each : byOrganisation.entrySet()) {
+            for (Map.Entry<String, DeficitRoundRobin<AdmissionTicket, FifoQueue<AdmissionTicket>>> each :
+                    byOrganisation.entrySet()) {
                 String organisation = each.getKey();
                 if (!usage(organisation, nowMillis).isBelowLimit(organisation)) {
                     continue;
                 }
-                DeficitRoundRobin<AdmissionTicket> callers = each.getValue();
+                DeficitRoundRobin<AdmissionTicket, FifoQueue<AdmissionTicket>> callers = each.getValue();
                 AdmissionTicket next = callers.poll();
                 size--;
                 byOrganisation.remove(organisation);
