Let requests wait in the gateway for a place on an upstream

AdmissionStep, between the session and the start of an attempt, hands a request that finds no room to AdmissionQueue, which is confined to one event loop. Only services whose requests differ in urgency or whose upstreams report their pace wait; others keep their path.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/BufferBudget.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/BufferBudget.java
@@ -55,6 +55,11 @@
         usedBytes.addAndGet(-bytes);
     }
 
+    /** Returns the bytes that may be reserved in all. */
+    public long limitBytes() {
+        return limitBytes;
+    }
+
     /** Returns the bytes that are reserved now. */
     public long usedBytes() {
         return usedBytes.get();
--- /dev/null
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ServiceLoad.java
@@ -0,0 +1,60 @@
+package io.laburnummoor.core.process;
+
+import java.util.List;
+
+import io.laburnummoor.core.connection.InstanceState;
+
+/**
+ * Load of all upstreams of one service at one moment, as far as known.
+ *
+ * @param usableCount upstreams that accept requests and are not ejected
+ * @param pausedCount upstreams that are sound but have asked for a pause
+ * @param runningCount requests on the usable upstreams
+ * @param freeSlots slots of the usable upstreams that no request takes; upstreams with unknown slots do not count
+ * @param reportAgeMillis age of the oldest of the upstreams' latest reports, or -1 if none has reported
+ * @param nextOpeningMillis time until a pause, or the avoidance of an upstream that refused a request, has ended for
+ *     sure; {@link Long#MAX_VALUE} if there is none
+ */
+public record ServiceLoad(
+        int usableCount,
+        int pausedCount,
+        int runningCount,
+        int freeSlots,
+        long reportAgeMillis,
+        long nextOpeningMillis) {
+    /** Time for which an upstream is avoided after it refused a request as full. */
+    private static final long FULL_MILLIS = 150;
+
+    /** Adds up the load of the upstreams of a service. */
+    public static ServiceLoad of(List<InstanceState> upstreams, long nowMillis) {
+        int usable = 0;
+        int paused = 0;
+        int running = 0;
+        int free = 0;
+        long age = -1;
+        long opening = Long.MAX_VALUE;
+        for (InstanceState each : upstreams) {
+            if (!each.isInService(nowMillis) || each.isEjected(nowMillis)) {
+                continue;
+            }
+            long holdOff = each.remainingHoldOffMillis(nowMillis);
+            if (holdOff > 0) {
+                paused++;
+                opening = Math.min(opening, holdOff);
+                continue;
+            }
+            int load = each.estimatedLoad(nowMillis);
+            usable++;
+            running += load;
+            free += Math.max(0, each.instance().slots() - load);
+            age = Math.max(age, each.reportedLoadAgeMillis(nowMillis));
+            opening = each.isFull(nowMillis) ? Math.min(opening, FULL_MILLIS) : opening;
+        }
+        return new ServiceLoad(usable, paused, running, free, age, opening);
+    }
+
+    /** Returns whether a place may become free: an upstream is sound, even if it has no room or wants a pause now. */
+    public boolean mayOpen() {
+        return usableCount + pausedCount > 0;
+    }
+}
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/WaitingQueue.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/WaitingQueue.java
@@ -139,6 +139,13 @@
         return service == null ? 0 : service.countAhead(request);
     }
 
+    /** Returns the request of a service that has waited longest, or null if none waits. */
+    public @Nullable WaitingRequest oldestOf(String service) {
+        ServiceQueue queue = services.get(service);
+        Entry oldest = queue == null ? null : queue.byAge.first(each -> true);
+        return oldest == null ? null : oldest.request;
+    }
+
     /** Returns the number of waiting requests. */
     public int size() {
         return entries.size();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/request/WaitingRequest.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/request/WaitingRequest.java
@@ -11,7 +11,6 @@
  * @param sinceMillis when the caller first sent the request
  * @param goalAtMillis when the response, or its first event, should begin
  * @param bytes memory that the request takes
- * @param listener notified when the request leaves the queue other than by its own removal
  */
 public record WaitingRequest(
         String service,
@@ -21,18 +20,7 @@
         long tokens,
         long sinceMillis,
         long goalAtMillis,
-        long bytes,
-        Listener listener) {
-
-    /** Receives what becomes of a waiting request. */
-    public interface Listener {
-        /** A place is free. It is granted to another request unless its use is reported soon. */
-        void onGranted();
-
-        /** The request may not run. */
-        void onRefused(WaitRefusal refusal);
-    }
-
+        long bytes) {
     /** Returns the share of the upstreams' capacity that the request takes, at least 1. */
     public long cost() {
         return Math.max(1, tokens);
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayContext.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayContext.java
@@ -27,6 +27,7 @@
  * @param crashSuspects requests that may crash upstreams, with the crashes counted against them
  * @param promptParts prompt parts that may crash upstreams, whatever else a request holds
  * @param retryBudget limit on the retries of each service
+ * @param admission requests that wait for a place on an upstream
  * @param prefillRate measured rate at which engines process prompts
  * @param headerCodec codec for the headers of the platform
  * @param cachedPrefixCodec codec for queries about the prefixes that engines have cached
@@ -45,6 +46,7 @@
         CrashSuspectTable crashSuspects,
         PromptPartQuarantine promptParts,
         WindowedRetryBudget retryBudget,
+        AdmissionQueue admission,
         PrefillRateEstimator prefillRate,
         ForwardCodec headerCodec,
         CachedPrefixCodec cachedPrefixCodec,
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayMetrics.java
@@ -3,11 +3,18 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 
+import io.laburnummoor.core.request.Urgency;
+import io.laburnummoor.core.request.WaitRefusal;
 import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -74,6 +81,24 @@
             .labelNames("result")
             .register(registry);
 
+    private final Gauge waiting = Gauge.builder()
+            .name("laburnummoor_waiting_requests")
+            .help("Requests that wait for a place on an upstream, by urgency.")
+            .labelNames("urgency")
+            .register(registry);
+    private final Histogram waitTime = Histogram.builder()
+            .name("laburnummoor_wait_seconds")
+            .help("Time that requests waited for a place, by outcome of the wait.")
+            .labelNames("outcome")
+            .classicUpperBounds(LATENCY_BUCKETS_SECONDS)
+            .classicOnly()
+            .register(registry);
+    private final Counter waitRefusals = Counter.builder()
+            .name("laburnummoor_wait_refusals_total")
+            .help("Requests that were refused because no place was free, by reason.")
+            .labelNames("reason")
+            .register(registry);
+
     private final NamedSeries<CounterDataPoint> requestsByRoute = new NamedSeries<>(requests, MAX_SERIES);
     private final NamedSeries<CounterDataPoint> attemptsByService = new NamedSeries<>(attempts, MAX_SERIES);
     private final NamedSeries<DistributionDataPoint> durationByRoute = new NamedSeries<>(duration, MAX_HISTOGRAMS);
@@ -135,6 +160,33 @@
         storeCalls.labelValues(succeeded ? "ok" : "failed").inc();
     }
 
+    /** Sets the number of waiting requests of an urgency. */
+    public void waitingRequests(Urgency urgency, int count) {
+        waiting.labelValues(Integer.toString(urgency.level())).set(count);
+    }
+
+    /** Records the end of a wait. */
+    public void waitEnded(WaitOutcome outcome, long millis) {
+        waitTime.labelValues(outcome.label()).observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /** Counts a request that was refused because no place was free. */
+    public void waitRefused(WaitRefusal refusal) {
+        waitRefusals.labelValues(refusal.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    /** Adds the free slots of each service to the metrics; the function is called for each output. */
+    public void reportFreeSlots(Supplier<Map<String, Integer>> freeSlotsByService) {
+        GaugeWithCallback.builder()
+                .name("laburnummoor_free_slots")
+                .help("Slots of a service's upstreams that no request takes, as far as known.")
+                .labelNames("service")
+                .callback(output -> freeSlotsByService.get().entrySet().stream()
+                        .limit(MAX_SERIES)
+                        .forEach(each -> output.call(each.getValue(), each.getKey())))
+                .register(registry);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public byte[] toText() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayServer.java
@@ -157,6 +157,7 @@
         supervisor.beginStop();
         long start = context.clock().nowMillis();
         context.state().beginDraining(start);
+        context.admission().refuseAll();
         StopSchedule schedule = StopSchedule.of(start, context.settings().stopMillis());
         waitForOpenRequests(schedule.earliestCloseMillis(), schedule.finalAnswersMillis());
         closeCallerListener();
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/GatewayState.java
@@ -41,6 +41,7 @@
     private final BufferBudget bufferBudget;
     private final BufferBudget requestBudget;
     private final StreamDurationEstimator streamDuration = new StreamDurationEstimator();
+    private volatile Runnable changeListener = () -> {};
 
     /** Creates a state whose buffers for bytes of upstreams and for requests may each take a part of the heap. */
     public GatewayState() {
@@ -63,6 +64,7 @@
     /** Replaces the current configuration. */
     public void replaceConfig(ForwardConfig next) {
         config.set(next);
+        changeListener.run();
     }
 
     public InstanceTable instances() {
@@ -73,6 +75,12 @@
     public void replaceInstances(InstanceTable next) {
         instances.replace(next);
         initialized.countDown();
+        changeListener.run();
+    }
+
+    /** Sets the task that runs after each change of the configuration or of the known upstreams; it must not block. */
+    public void setChangeListener(Runnable listener) {
+        changeListener = listener;
     }
 
     /** Waits until configuration and upstreams have been read for the first time, or until the timeout. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.laburnummoor.core.Clock;
 import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.ReportedLoad;
 import io.laburnummoor.core.connection.UpstreamInstance;
 import io.laburnummoor.core.process.BufferBudget;
 import io.laburnummoor.core.version.ForwardRoute;
@@ -9,6 +10,7 @@
 import io.laburnummoor.gateway.connection.ResponseBuffer;
 import io.laburnummoor.gateway.connection.UpstreamConnection;
 import io.laburnummoor.gateway.connection.UpstreamListener;
+import io.laburnummoor.gateway.process.AdmissionQueue;
 import io.laburnummoor.gateway.process.DecisionLog;
 import io.laburnummoor.gateway.process.GatewayContext;
 import io.netty.buffer.ByteBuf;
@@ -42,6 +44,7 @@
     private final ForwardCodec codec;
     private final Clock clock;
     private final DecisionLog log;
+    private final AdmissionQueue admission;
     private final boolean streamRequested;
     /** Whether only events with an id are output; others, such as comments that keep a connection open, are not. */
     private final boolean numberedEvents;
@@ -85,6 +88,7 @@
         this.codec = context.headerCodec();
         this.clock = context.clock();
         this.log = context.log();
+        this.admission = context.admission();
         this.bufferBudget = context.state().bufferBudget();
         this.framer = new EventFramer(bufferBudget);
         this.streamRequested = route.streaming();
@@ -239,6 +243,8 @@
         long now = clock.nowMillis();
         target.recordLastSeen(now);
         UpstreamNotices.record(responseHead, target, now, log);
+        ReportedLoad load = responseHead.load();
+        admission.upstreamResponded(target.instance().service(), load != null && load.pacePercent() > 0);
         if (responseHead.isSuccess() && (!responseHead.sealed() || responseHead.contentEncoded())) {
             failOnProtocolError("success without the upstream's signature or with an encoding");
             return;
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -39,16 +39,22 @@
     private final ForwardRequest request;
     private final ForwardRoute route;
     private final ForwardService service;
+    private final EventLoop loop;
     private final Set<String> excludedIds = new HashSet<>();
+    /** Excluded upstreams that refused the request because they were full. */
+    private final Set<String> fullIds = new HashSet<>();
+
     private final double versionDraw = ThreadLocalRandom.current().nextDouble();
 
     AttemptLauncher(
             GatewayContext context,
+            EventLoop loop,
             UpstreamPool pool,
             ForwardRequest request,
             ForwardRoute route,
             ForwardService service) {
         this.context = context;
+        this.loop = loop;
         this.pool = pool;
         this.request = request;
         this.route = route;
@@ -64,7 +70,7 @@
      * Calls back when the first upstream can be selected: immediately, or for a resumed stream after the engines have
      * reported their cached prefixes.
      */
-    void prepare(EventLoop loop, Runnable whenReady) {
+    void prepare(Runnable whenReady) {
         if (needsLookup()) {
             new CachedPrefixLookup(context, loop, pool, whenReady).start(service.name(), request.id());
         } else {
@@ -72,6 +78,28 @@
         }
     }
 
+    /**
+     * Records that an upstream refused the attempt. A full one is not chosen for the next attempts.
+     *
+     * @return whether the incarnation has ended
+     */
+    boolean recordNotExecuted(Attempt attempt, UpstreamResponseHead head) {
+        if (head.wrongIncarnation()) {
+            recordIncarnationEnded(attempt);
+        } else if (!attempt.resumesFromBackup()) {
+            attempt.target().recordFull(context.clock().nowMillis());
+            exclude(attempt);
+            fullIds.add(attempt.instance().id());
+        }
+        return head.wrongIncarnation();
+    }
+
+    /** Allows the upstreams again that were full, since the request was granted a place that became free later. */
+    void readmitFull() {
+        excludedIds.removeAll(fullIds);
+        fullIds.clear();
+    }
+
     /** Excludes an attempt's upstream from the choice for further ones, except when no other is left. */
     void exclude(Attempt attempt) {
         excludedIds.add(attempt.instance().id());
@@ -192,7 +220,7 @@
     }
 
     /** Records that another incarnation answered at the upstream's address; the old one gets no more requests. */
-    void recordIncarnationEnded(Attempt attempt) {
+    private void recordIncarnationEnded(Attempt attempt) {
         attempt.target().markEnded(context.clock().nowMillis());
         context.loadExchange().incarnationEnded(attempt.target());
     }
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/ForwardSession.java
@@ -29,10 +29,8 @@
 
     private final GatewayContext context;
     private final CallerExchange exchange;
-    private final EventLoop loop;
     private final ForwardRequest request;
     private final ForwardRoute route;
-    private final ForwardService service;
     private final AttemptLauncher launcher;
     private final AttemptMonitor monitor;
     private final AttemptHistory history;
@@ -42,6 +40,7 @@
     private final StreamDelivery delivery;
     private final RunningAttempts running = new RunningAttempts();
     private final RetryGate retries;
+    private final AdmissionStep admission;
     private final ResumptionWait resumptionWait;
     private final ScheduledFuture<?> deadlineTimer;
     private @Nullable InstanceState resumeBackup;
@@ -58,16 +57,16 @@
             ForwardService service) {
         this.context = context;
         this.exchange = exchange;
-        this.loop = loop;
         this.request = request;
         this.route = route;
-        this.service = service;
-        this.launcher = new AttemptLauncher(context, pool, request, route, service);
+        this.launcher = new AttemptLauncher(context, loop, pool, request, route, service);
         this.history = new AttemptHistory(route.retryPolicy(), route.maxUpstreams());
         this.finalResponse = new FinalResponse(context.headerCodec(), exchange, route, history);
         this.crashReporter = new CrashReporter(context, loop, pool, request, service.name());
         this.trace = new RequestTrace(context, request, route, service.name());
         this.retries = new RetryGate(context, service.name(), history, crashReporter, request.deadlineMillis(route));
+        this.admission = new AdmissionStep(
+                this, context, loop, exchange, request, route, service, launcher, history, crashReporter);
         this.resumptionWait = new ResumptionWait(loop, exchange.guarded(this::resume));
         this.monitor = AttemptMonitor.of(
                 context,
@@ -87,12 +86,12 @@
             fail(QUARANTINED, refusedForMillis);
             return;
         }
-        context.retryBudget().recordRequest(service.name(), now());
+        retries.recordRequest();
         if (launcher.needsLookup() && !exchange.isConnected()) {
             onCallerDisconnected();
             return;
         }
-        launcher.prepare(loop, guarded(() -> {
+        launcher.prepare(guarded(() -> {
             if (!done) {
                 startAttempt("first");
             }
@@ -128,6 +127,10 @@
     }
 
     private void startAttempt(String reason) {
+        admission.enter(reason, delivery.isStarted(), () -> sendAttempt(reason));
+    }
+
+    private void sendAttempt(String reason) {
         InstanceState backup = launcher.usableBackup(resumeBackup);
         InstanceState target = backup != null ? backup : launcher.selectUpstream();
         if (target == null) {
@@ -263,12 +266,8 @@
     private void onNotExecuted(Attempt attempt, UpstreamResponseHead head) {
         history.record(attempt.number(), AttemptStatus.NOT_EXECUTED);
         trace.notExecuted(attempt, head.status());
-        if (head.wrongIncarnation()) {
-            launcher.recordIncarnationEnded(attempt);
+        if (launcher.recordNotExecuted(attempt, head)) {
             history.recordUpstreamEnded(attempt.instance().id());
-        } else if (!attempt.resumesFromBackup()) {
-            attempt.target().recordFull(now());
-            launcher.exclude(attempt);
         }
         retryOrFail(attempt, "not_executed", true, RETRY_AFTER_FULL_MILLIS);
     }
@@ -390,6 +389,7 @@
         resumptionWait.cancel();
         monitor.stop();
         running.cancelAll();
+        admission.end();
         finalResponse.release();
         launcher.loadChanged();
         trace.requestEnded(outcome, status, history, delivery.lastEventId(), retries.remainingMillis());
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RetryGate.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/RetryGate.java
@@ -34,6 +34,11 @@
         return Math.max(0, deadlineMillis - now());
     }
 
+    /** Counts the request in the retry budget. */
+    void recordRequest() {
+        context.retryBudget().recordRequest(service, now());
+    }
+
     /** Returns whether an attempt that was never sent may be followed by another one, which needs no retry. */
     boolean mayReplaceUnsent() {
         return remainingMillis() > MIN_REMAINING_MILLIS && history.mayRetry();
