--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ServiceLoad.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ServiceLoad.java
@@ -65,7 +65,12 @@
     }
 
     /** Returns whether a place may become free: an upstream is sound, even if it has no room or wants a pause now. */
-    public boolean mayOpen() {
-        return usableCount + pausedCount > 0;
+    public static boolean mayOpen(List<InstanceState> upstreams, long nowMillis) {
+        for (InstanceState each : upstreams) {
+            if (each.isInService(nowMillis) && !each.isEjected(nowMillis)) {
+                return true;
+            }
+        }
+        return false;
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/WaitingQueue.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/WaitingQueue.java
@@ -32,6 +32,9 @@
                     each -> each.request.goalAtMillis())
             .thenComparingLong(each -> each.sequence);
 
+    private static final Comparator<Entry> BY_SIZE =
+            Comparator.<Entry>comparingLong(each -> each.request.tokens()).thenComparingLong(each -> each.sequence);
+
     private final int maxCount;
     private final long maxBytes;
     private final Map<WaitingRequest, Entry> entries = new IdentityHashMap<>();
@@ -106,7 +109,7 @@
      */
     public @Nullable WaitingRequest grant(String serviceName, long roomTokens) {
         ServiceQueue service = services.get(serviceName);
-        Entry next = service == null ? null : service.next(each -> each.request.tokens() <= roomTokens);
+        Entry next = service == null ? null : service.next(roomTokens);
         if (service == null || next == null) {
             return null;
         }
@@ -170,6 +173,9 @@
     /** Waiting requests of one service. */
     private static final class ServiceQueue {
         private final SortedQueue<Entry> byAge = new SortedQueue<>(BY_AGE);
+        /** Tells at once that nothing fits, which is most often so. */
+        private final SortedQueue<Entry> bySize = new SortedQueue<>(BY_SIZE);
+
         private final List<DeficitRoundRobin<Entry, DeficitRoundRobin<Entry, SortedQueue<Entry>>>> byUrgency =
                 new ArrayList<>();
         private int grantsSinceOldest;
@@ -190,16 +196,23 @@
 
         void add(Entry entry) {
             byAge.add(entry);
+            bySize.add(entry);
             byUrgency.get(entry.request.urgency().level()).add(entry);
         }
 
         void remove(Entry entry) {
             byAge.remove(entry);
+            bySize.remove(entry);
             byUrgency.get(entry.request.urgency().level()).remove(entry);
         }
 
         @Nullable
-        Entry next(Predicate<Entry> fits) {
+        Entry next(long roomTokens) {
+            Entry smallest = bySize.first(each -> true);
+            if (smallest == null || smallest.request.tokens() > roomTokens) {
+                return null;
+            }
+            Predicate<Entry> fits = each -> each.request.tokens() <= roomTokens;
             Entry oldest = isOldestTurn() ? byAge.first(fits) : null;
             if (oldest != null) {
                 return oldest;
@@ -220,6 +233,7 @@
         void take(Entry entry) {
             grantsSinceOldest = isOldestTurn() ? 0 : grantsSinceOldest + 1;
             byAge.remove(entry);
+            bySize.remove(entry);
             byUrgency.get(entry.request.urgency().level()).take(entry);
         }
 
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/AdmissionQueue.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/AdmissionQueue.java
@@ -90,8 +90,7 @@
         List<InstanceState> upstreams = state.instances().ofService(service.name());
         ServiceAdmission known = services.get(service.name());
         boolean othersWait = known != null && known.waitingCount().get() > 0;
-        return (othersWait || !ledger.hasRoom(upstreams, service, tokens, now))
-                && ServiceLoad.of(upstreams, service, ledger, now).mayOpen();
+        return (othersWait || !ledger.hasRoom(upstreams, service, tokens, now)) && ServiceLoad.mayOpen(upstreams, now);
     }
 
     private boolean applies(String service) {
