Select by expected time and let requests wait only where upstreams report a pace

Its upstreams report no pace; its organisations differ in priority, which alone switched on the expected time and the waiting queue, as it would on earlier deployments whose organisations have priorities. By reading, the expected time does not count the generations that run on an engine, and the queue counts KV-cache backups as taken room. Which of the two costs how much is not separated. Now a reported pace is the only condition; WaitingRequestTest and ExpectedTimePlacementTest guard it.

--- a/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlacementScenario.java
+++ b/laburnummoor-bench/src/main/java/io/laburnummoor/bench/process/PlacementScenario.java
@@ -68,7 +68,7 @@
         double[] micros = new double[SELECTIONS];
         for (int round = 0; round < 2; round++) {
             for (int i = 0; i < SELECTIONS; i++) {
-                RequestWork work = new RequestWork(8_200, 980, 4_013, 0, false, random.nextDouble());
+                RequestWork work = new RequestWork(8_200, 980, 4_013, 0, random.nextDouble());
                 InstanceSelector.Criteria criteria =
                         new InstanceSelector.Criteria(SERVICE, Set.of(), List.of(), 0.5, false, work);
                 long startNanos = System.nanoTime();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTimePolicy.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTimePolicy.java
@@ -5,7 +5,7 @@
 
 /**
  * Rates upstreams by the expected time to the first event. Answers upstreams that differ in speed, also for fractions
- * of a second, and requests that differ in urgency.
+ * of a second.
  *
  * <p>Many routers see the same fastest upstream, so it is chosen only with a probability: upstreams whose expected time
  * is higher by less than the tolerance share the requests. The tolerance is the time that a wrong choice may cost, an
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
@@ -63,12 +63,9 @@
 
     /**
      * Returns whether the expected time decides on the upstreams of a service: as soon as one of them has reported its
-     * pace, or if the configuration differentiates urgency for it.
+     * pace. Differing urgency alone says nothing about the upstreams.
      */
-    public boolean usesExpectedTime(List<InstanceState> upstreams, boolean urgencyDiffers) {
-        if (urgencyDiffers) {
-            return true;
-        }
+    public boolean usesExpectedTime(List<InstanceState> upstreams) {
         for (InstanceState each : upstreams) {
             if (each.pace().isReported()) {
                 return true;
@@ -100,8 +97,7 @@
     private @Nullable InstanceState selectAllowed(
             InstanceTable table, Criteria criteria, Predicate<UpstreamInstance> allowed, long nowMillis) {
         List<InstanceState> upstreams = table.ofService(criteria.service.name());
-        PlacementPolicy policy =
-                usesExpectedTime(upstreams, criteria.work.urgencyDiffers()) ? expectedTimePolicy : requestCountPolicy;
+        PlacementPolicy policy = usesExpectedTime(upstreams) ? expectedTimePolicy : requestCountPolicy;
         long promptTokens = criteria.promptTokens();
         Predicate<InstanceState> eligible = each -> each.acceptsRequests(nowMillis)
                 && !criteria.excludedIds.contains(each.instance().id())
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/AdmissionQueue.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/process/AdmissionQueue.java
@@ -80,7 +80,7 @@
 
     /**
      * Returns whether a request has to wait: others wait before it, or no upstream has room while one may get some. A
-     * service waits only if its requests differ in urgency or its upstreams report their pace.
+     * service waits only if its upstreams report their pace.
      */
     public boolean mustWait(ForwardService service, long tokens) {
         if (!applies(service.name())) {
@@ -94,9 +94,8 @@
     }
 
     private boolean applies(String service) {
-        ForwardConfig config = state.config();
         ServiceAdmission known = services.get(service);
-        return (config != null && config.differentiatesUrgency(service)) || (known != null && known.isPaceReported());
+        return known != null && known.isPaceReported();
     }
 
     /** Starts a wait, whose end the listener of the ticket is told. */
--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/AttemptLauncher.java
@@ -11,7 +11,6 @@
 import io.laburnummoor.core.process.ExpectedTime;
 import io.laburnummoor.core.process.InstanceSelector;
 import io.laburnummoor.core.process.RequestWork;
-import io.laburnummoor.core.version.ForwardConfig;
 import io.laburnummoor.core.version.ForwardRoute;
 import io.laburnummoor.core.version.ForwardService;
 import io.laburnummoor.gateway.connection.UpstreamConnection;
@@ -157,19 +156,13 @@
                 head.outputTokens(),
                 route.responseGoalMillis(),
                 context.clock().nowMillis() - request.arrivedAtMillis(),
-                differentiatesUrgency(),
                 ThreadLocalRandom.current().nextDouble());
     }
 
-    private boolean differentiatesUrgency() {
-        ForwardConfig config = context.state().config();
-        return config != null && config.differentiatesUrgency(service.name());
-    }
-
     /** Returns the expected time of this request on an upstream, or null if the number of requests decides. */
     private ExpectedTime.@Nullable Estimate estimate(InstanceState target) {
         List<InstanceState> upstreams = context.state().instances().ofService(service.name());
-        return context.selector().usesExpectedTime(upstreams, differentiatesUrgency())
+        return context.selector().usesExpectedTime(upstreams)
                 ? expectedTime().of(target, service, work(), context.clock().nowMillis())
                 : null;
     }
