Add up the load of all routers on an upstream in one place

The sum of a router's own load and that of the others stood in four classes: InstanceSelector, RequestCountPolicy, CapacityLedger and ExpectedTime. PeerLoads.totalOf is that sum now; a selection by request count looks the other routers' load up once in place of twice for each candidate. The results are the same; no test was changed.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/CapacityLedger.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/CapacityLedger.java
@@ -28,16 +28,16 @@
     /** Returns what an upstream of a service can still take. */
     public UpstreamCapacity of(InstanceState upstream, ForwardService service, long nowMillis) {
         UpstreamLoad peers = peerLoads.of(upstream.instance().id());
+        UpstreamLoad total = upstream.ownLoad().plus(peers);
         int reported = service.isEngine()
                 ? upstream.estimatedLoad(nowMillis)
                 : (int) Math.round(upstream.estimatedLoad(nowMillis, CALL_RESIDENCE_MILLIS));
-        int requests = Math.max(reported, upstream.inFlightCount() + peers.inFlight());
+        int requests = Math.max(reported, total.inFlight());
         int slots = upstream.slots();
-        long kvCacheTokens = upstream.kvCacheTokens() + peers.kvCacheTokens();
         return new UpstreamCapacity(
                 slots == 0 ? Integer.MAX_VALUE : slots - requests,
-                service.kvCacheTokens() == 0 ? Long.MAX_VALUE : service.kvCacheTokens() - kvCacheTokens,
-                upstream.prefillTokens() + peers.prefillTokens(),
+                service.kvCacheTokens() == 0 ? Long.MAX_VALUE : service.kvCacheTokens() - total.kvCacheTokens(),
+                total.prefillTokens(),
                 ageMillis(upstream, peers, nowMillis));
     }
 
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTime.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTime.java
@@ -44,17 +44,17 @@
     Estimate of(
             InstanceState upstream, ForwardService service, RequestWork work, long tokensToPrefill, long nowMillis) {
         WorkTimes.Averages averages = workOf(service.name()).get();
-        UpstreamLoad peers = peerLoads.of(upstream.instance().id());
+        UpstreamLoad total = peerLoads.totalOf(upstream);
         double pace = upstream.pace().expected(nowMillis);
         return service.isEngine()
-                ? ofEngine(upstream, service, work, tokensToPrefill, averages, peers, pace, nowMillis)
-                : ofCall(upstream, averages, peers, pace, nowMillis);
+                ? ofEngine(upstream, service, work, tokensToPrefill, averages, total, pace, nowMillis)
+                : ofCall(upstream, averages, total, pace, nowMillis);
     }
 
     private static Estimate ofCall(
-            InstanceState upstream, WorkTimes.Averages averages, UpstreamLoad peers, double pace, long nowMillis) {
+            InstanceState upstream, WorkTimes.Averages averages, UpstreamLoad total, double pace, long nowMillis) {
         double workMillis = pace * averages.callMillis();
-        double requests = requestsOn(upstream, peers, workMillis, nowMillis);
+        double requests = requestsOn(upstream, total, workMillis, nowMillis);
         int slots = upstream.slots();
         double waitMillis = slots == 0 ? 0 : workMillis * queueFactor(requests, slots);
         double end = workMillis + waitMillis;
@@ -67,19 +67,19 @@
             RequestWork work,
             long tokensToPrefill,
             WorkTimes.Averages averages,
-            UpstreamLoad peers,
+            UpstreamLoad total,
             double pace,
             long nowMillis) {
-        long tokensAhead = upstream.prefillTokens() + peers.prefillTokens();
+        long tokensAhead = total.prefillTokens();
         double ownMillis = pace * tokensToPrefill / averages.tokensPerMilli();
         double decodeMillis = pace * averages.decodeMillis();
         double residenceMillis = Math.max(1, ownMillis + decodeMillis);
-        double requests = requestsOn(upstream, peers, residenceMillis, nowMillis);
+        double requests = requestsOn(upstream, total, residenceMillis, nowMillis);
         int slots = upstream.slots();
         double occupancy = slots == 0 ? 0 : requests / slots;
         double excess = slots == 0 ? 0 : Math.max(0, (requests - slots + 1) / slots);
         if (service.kvCacheTokens() > 0) {
-            double held = upstream.kvCacheTokens() + peers.kvCacheTokens();
+            double held = total.kvCacheTokens();
             occupancy = Math.max(occupancy, held / service.kvCacheTokens());
             excess = Math.max(excess, (held + work.totalTokens() - service.kvCacheTokens()) / service.kvCacheTokens());
         }
@@ -90,10 +90,8 @@
     }
 
     private static double requestsOn(
-            InstanceState upstream, UpstreamLoad peers, double residenceMillis, long nowMillis) {
-        return Math.max(
-                upstream.estimatedLoad(nowMillis, Math.max(1, residenceMillis)),
-                (double) upstream.inFlightCount() + peers.inFlight());
+            InstanceState upstream, UpstreamLoad total, double residenceMillis, long nowMillis) {
+        return Math.max(upstream.estimatedLoad(nowMillis, Math.max(1, residenceMillis)), total.inFlight());
     }
 
     /** Returns the expected waiting time for a slot, as a multiple of the time of one request. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
@@ -112,7 +112,7 @@
 
     /** Returns the prompt tokens of all routers' requests that an upstream still has to prefill, as far as known. */
     public long totalPrefillTokens(InstanceState upstream) {
-        return upstream.prefillTokens() + peerLoads.of(upstream.instance().id()).prefillTokens();
+        return peerLoads.totalOf(upstream).prefillTokens();
     }
 
     /**
@@ -138,7 +138,7 @@
     }
 
     private long totalKvCacheTokens(InstanceState each) {
-        return each.kvCacheTokens() + peerLoads.of(each.instance().id()).kvCacheTokens();
+        return peerLoads.totalOf(each).kvCacheTokens();
     }
 
     /** Returns the eligible upstream with the lowest score below a limit, or null if there is none. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PeerLoads.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PeerLoads.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamLoad;
 
 /**
@@ -74,6 +75,11 @@
         return totals.getOrDefault(upstreamId, UpstreamLoad.NONE);
     }
 
+    /** Returns the load that all routers, this one included, put on an upstream. */
+    public UpstreamLoad totalOf(InstanceState upstream) {
+        return upstream.ownLoad().plus(of(upstream.instance().id()));
+    }
+
     /** Returns the number of routers that have reported recently. */
     public int routerCount() {
         return byRouter.size();
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RequestCountPolicy.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RequestCountPolicy.java
@@ -1,11 +1,12 @@
 package io.laburnummoor.core.process;
 
 import io.laburnummoor.core.connection.InstanceState;
+import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.version.ForwardService;
 
 /**
- * Rates upstreams by the number of requests and the tokens to prefill. For services whose upstreams are alike and whose
- * requests are equally urgent.
+ * Rates upstreams by the number of requests and the tokens to prefill. For services whose upstreams do not report their
+ * pace.
  */
 final class RequestCountPolicy implements PlacementPolicy {
     /** Tokens to prefill that weigh as much as one running request: they delay all generations of the engine. */
@@ -37,10 +38,10 @@
     @Override
     public double cost(InstanceState upstream, InstanceSelector.Criteria criteria, long nowMillis) {
         ForwardService service = criteria.service();
-        double cost = isSpreadWidely(criteria)
-                ? occupancyLoad(upstream, service, nowMillis)
-                : requestCount(upstream, nowMillis);
-        return cost + (service.isEngine() ? totalPrefillTokens(upstream) / PREFILL_TOKENS_PER_REQUEST : 0);
+        UpstreamLoad total = peerLoads.totalOf(upstream);
+        int requests = Math.max(upstream.estimatedLoad(nowMillis), total.inFlight());
+        double cost = isSpreadWidely(criteria) ? occupancyLoad(upstream, requests, total, service) : requests;
+        return cost + (service.isEngine() ? total.prefillTokens() / PREFILL_TOKENS_PER_REQUEST : 0);
     }
 
     @Override
@@ -78,23 +79,11 @@
         return WIDE_SPREAD * Math.log(-Math.log(positive));
     }
 
-    private long totalPrefillTokens(InstanceState upstream) {
-        return upstream.prefillTokens() + peerLoads.of(upstream.instance().id()).prefillTokens();
-    }
-
-    private int requestCount(InstanceState upstream, long nowMillis) {
-        int known = upstream.inFlightCount()
-                + peerLoads.of(upstream.instance().id()).inFlight();
-        return Math.max(upstream.estimatedLoad(nowMillis), known);
-    }
-
-    private double occupancyLoad(InstanceState upstream, ForwardService service, long nowMillis) {
-        double occupancy = (double) requestCount(upstream, nowMillis)
-                / Math.max(1, upstream.instance().slots());
+    private static double occupancyLoad(
+            InstanceState upstream, int requests, UpstreamLoad total, ForwardService service) {
+        double occupancy = (double) requests / Math.max(1, upstream.instance().slots());
         if (service.kvCacheTokens() > 0) {
-            long held = upstream.kvCacheTokens()
-                    + peerLoads.of(upstream.instance().id()).kvCacheTokens();
-            occupancy = Math.max(occupancy, (double) held / service.kvCacheTokens());
+            occupancy = Math.max(occupancy, (double) total.kvCacheTokens() / service.kvCacheTokens());
         }
         return OCCUPANCY_WEIGHT * occupancy * occupancy;
     }
