Compute once for each selection what does not depend on the upstream

The expected-time policy looked the service's averages up three times for each candidate, and decided for each whether the prompt is long. No test was changed.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTime.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTime.java
@@ -20,8 +20,6 @@
     private static final int MAX_SERVICES = 1_000;
 
     private static final double PERCENT = 100;
-    /** Multiple of the mean length of the service's prompts from which a prompt counts as long. */
-    private static final double LONG_PROMPT_FACTOR = 1.3;
 
     private final PeerLoads peerLoads;
     private final ConcurrentHashMap<String, WorkTimes> workByService = new ConcurrentHashMap<>();
@@ -34,7 +32,7 @@
 
     /** Returns what a request is expected to take on an upstream, with the inputs. */
     public Estimate of(InstanceState upstream, ForwardService service, RequestWork work, long nowMillis) {
-        return of(upstream, service, work, work.promptTokens(), nowMillis);
+        return of(upstream, service, work, work.promptTokens(), averagesOf(service.name()), nowMillis);
     }
 
     /**
@@ -42,8 +40,12 @@
      * engine has cached the others.
      */
     Estimate of(
-            InstanceState upstream, ForwardService service, RequestWork work, long tokensToPrefill, long nowMillis) {
-        WorkTimes.Averages averages = workOf(service.name()).get();
+            InstanceState upstream,
+            ForwardService service,
+            RequestWork work,
+            long tokensToPrefill,
+            WorkTimes.Averages averages,
+            long nowMillis) {
         UpstreamLoad total = peerLoads.totalOf(upstream);
         double pace = upstream.pace().expected(nowMillis);
         return service.isEngine()
@@ -108,24 +110,18 @@
 
     /** Returns whether a prompt is long in comparison with the others of its service. */
     public boolean isLongPrompt(String service, long promptTokens) {
-        double mean = workOf(service).get().promptTokens();
-        return mean > 0 && promptTokens > LONG_PROMPT_FACTOR * mean;
+        return averagesOf(service).isLongPrompt(promptTokens);
     }
 
-    /** Returns the time in which an engine of a service at the usual pace prefills some tokens. */
-    double prefillMillis(String service, long tokens) {
-        return tokens / workOf(service).get().tokensPerMilli();
+    /** Returns the averages of a service at the usual pace. */
+    WorkTimes.Averages averagesOf(String service) {
+        return workOf(service).get();
     }
 
     /** Returns the time in which an engine prefills some tokens at its pace. */
     public long prefillMillis(InstanceState upstream, long tokens, long nowMillis) {
         return Math.round(upstream.pace().expected(nowMillis)
-                * prefillMillis(upstream.instance().service(), tokens));
-    }
-
-    /** Returns the time of one call of a service at the usual pace. */
-    double callMillis(String service) {
-        return workOf(service).get().callMillis();
+                * averagesOf(upstream.instance().service()).prefillMillis(tokens));
     }
 
     /** Returns the age of the oldest report of another router that counts, or -1 if there is none. */
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTimePolicy.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ExpectedTimePolicy.java
@@ -1,5 +1,7 @@
 package io.laburnummoor.core.process;
 
+import java.util.function.ToDoubleFunction;
+
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.version.ForwardService;
 
@@ -36,30 +38,31 @@
     }
 
     @Override
-    public double cost(InstanceState upstream, InstanceSelector.Criteria criteria, long nowMillis) {
+    public ToDoubleFunction<InstanceState> costs(InstanceSelector.Criteria criteria, long nowMillis) {
         RequestWork work = criteria.work();
-        long cached = criteria.prompt().isEmpty() ? 0 : upstream.cachedPrefixTokens(criteria.prompt(), nowMillis);
-        long tokensToPrefill = Math.max(0, work.promptTokens() - cached);
-        double firstEventMillis = expectedTime
-                .of(upstream, criteria.service(), work, tokensToPrefill, nowMillis)
-                .firstEventMillis();
+        ForwardService service = criteria.service();
+        WorkTimes.Averages averages = expectedTime.averagesOf(service.name());
+        double unitMillis = unitMillis(service, averages);
         double limitMillis = GROUPED_GOAL_FRACTION * work.goalMillis() - work.elapsedMillis();
-        boolean grouped = firstEventMillis <= limitMillis && isGrouped(upstream, criteria);
-        return (grouped ? firstEventMillis - limitMillis : firstEventMillis) / unitMillis(criteria.service());
+        // After a loss, other routers select at the same moment and would choose the same few engines.
+        boolean mayGroup = service.isEngine() && !criteria.afterLoss() && averages.isLongPrompt(work.promptTokens());
+        return upstream -> {
+            long cached = criteria.prompt().isEmpty() ? 0 : upstream.cachedPrefixTokens(criteria.prompt(), nowMillis);
+            long tokensToPrefill = Math.max(0, work.promptTokens() - cached);
+            double firstEventMillis = expectedTime
+                    .of(upstream, service, work, tokensToPrefill, averages, nowMillis)
+                    .firstEventMillis();
+            boolean grouped = mayGroup && firstEventMillis <= limitMillis && takesFurtherLongPrompt(upstream);
+            return (grouped ? firstEventMillis - limitMillis : firstEventMillis) / unitMillis;
+        };
     }
 
     /**
-     * Returns whether a prompt and an engine are among the long ones. After a loss, other routers select at the same
-     * moment and would choose the same few engines. An engine of unknown speed takes no second long prompt: at 0.6
-     * times the usual speed, two of them missed the goal that each had met alone.
+     * Returns whether an engine is prefilling a long prompt and may take another one. An engine of unknown speed takes
+     * no second one: at 0.6 times the usual speed, two of them missed the goal that each had met alone.
      */
-    private boolean isGrouped(InstanceState upstream, InstanceSelector.Criteria criteria) {
-        return criteria.service().isEngine()
-                && !criteria.afterLoss()
-                && expectedTime.prefillsLongPrompt(upstream)
-                && upstream.pace().isMeasured()
-                && expectedTime.isLongPrompt(
-                        criteria.service().name(), criteria.work().promptTokens());
+    private boolean takesFurtherLongPrompt(InstanceState upstream) {
+        return expectedTime.prefillsLongPrompt(upstream) && upstream.pace().isMeasured();
     }
 
     @Override
@@ -82,7 +85,8 @@
     @Override
     public double tolerance(double bestCost, InstanceSelector.Criteria criteria) {
         RequestWork work = criteria.work();
-        double unitMillis = unitMillis(criteria.service());
+        WorkTimes.Averages averages = expectedTime.averagesOf(criteria.service().name());
+        double unitMillis = unitMillis(criteria.service(), averages);
         double best = Math.abs(bestCost);
         double tolerance = work.goalMillis() == 0
                 ? USUAL_TOLERANCE * best
@@ -90,16 +94,16 @@
                         MIN_TOLERANCE * best,
                         Math.min(MAX_TOLERANCE * best, GOAL_FRACTION * work.goalMillis() / unitMillis));
         if (criteria.afterLoss() && criteria.service().isEngine()) {
-            double prompt = expectedTime.prefillMillis(criteria.service().name(), work.promptTokens()) / unitMillis;
+            double prompt = averages.prefillMillis(work.promptTokens()) / unitMillis;
             return Math.max(tolerance, prompt);
         }
         return tolerance;
     }
 
     /** Returns the time that counts as one running request beside failures and failure domains. */
-    private double unitMillis(ForwardService service) {
+    private static double unitMillis(ForwardService service, WorkTimes.Averages averages) {
         return service.isEngine()
-                ? expectedTime.prefillMillis(service.name(), (long) RequestCountPolicy.PREFILL_TOKENS_PER_REQUEST)
-                : expectedTime.callMillis(service.name()) / USUAL_SLOTS;
+                ? averages.prefillMillis((long) RequestCountPolicy.PREFILL_TOKENS_PER_REQUEST)
+                : averages.callMillis() / USUAL_SLOTS;
     }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/InstanceSelector.java
@@ -102,7 +102,8 @@
         Predicate<InstanceState> eligible = each -> each.acceptsRequests(nowMillis)
                 && !criteria.excludedIds.contains(each.instance().id())
                 && allowed.test(each.instance());
-        ToDoubleFunction<InstanceState> score = each -> score(each, policy, criteria, nowMillis)
+        ToDoubleFunction<InstanceState> costs = policy.costs(criteria, nowMillis);
+        ToDoubleFunction<InstanceState> score = each -> score(each, policy, costs, criteria, nowMillis)
                 + (hasCapacity(each, criteria.service, promptTokens) ? 0 : policy.fullCost())
                 - policy.cachedPrefixValue(each, criteria, nowMillis);
         return policy == expectedTimePolicy
@@ -122,6 +123,7 @@
     public @Nullable InstanceState selectBackup(
             InstanceTable table, ForwardService service, UpstreamInstance primary, long tokens, long nowMillis) {
         Criteria criteria = new Criteria(service, Set.of(), List.of(), OLD_VERSION_DRAW, false);
+        ToDoubleFunction<InstanceState> costs = requestCountPolicy.costs(criteria, nowMillis);
         return selectLowest(
                 table.ofService(service.name()),
                 EJECTED_PENALTY,
@@ -129,7 +131,7 @@
                         && !each.instance().failureDomain().equals(primary.failureDomain())
                         && each.instance().version().equals(primary.version())
                         && hasCapacity(each, service, tokens),
-                each -> score(each, requestCountPolicy, criteria, nowMillis)
+                each -> score(each, requestCountPolicy, costs, criteria, nowMillis)
                         + totalKvCacheTokens(each) / KV_CACHE_TOKENS_PER_REQUEST);
     }
 
@@ -197,9 +199,14 @@
         return best;
     }
 
-    private double score(InstanceState each, PlacementPolicy policy, Criteria criteria, long nowMillis) {
+    private double score(
+            InstanceState each,
+            PlacementPolicy policy,
+            ToDoubleFunction<InstanceState> costs,
+            Criteria criteria,
+            long nowMillis) {
         UpstreamInstance instance = each.instance();
-        double score = policy.cost(each, criteria, nowMillis);
+        double score = costs.applyAsDouble(each);
         score += each.failureRate() * FAILURE_RATE_PENALTY;
         score += each.isEjected(nowMillis) ? EJECTED_PENALTY : 0;
         score += each.isFull(nowMillis) ? FULL_PENALTY : 0;
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PlacementPolicy.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/PlacementPolicy.java
@@ -1,5 +1,7 @@
 package io.laburnummoor.core.process;
 
+import java.util.function.ToDoubleFunction;
+
 import io.laburnummoor.core.connection.InstanceState;
 
 /**
@@ -7,8 +9,11 @@
  * {@link InstanceSelector}, in the same unit.
  */
 interface PlacementPolicy {
-    /** Returns the cost of sending a request to an upstream, in units of one running request; the lowest is best. */
-    double cost(InstanceState upstream, InstanceSelector.Criteria criteria, long nowMillis);
+    /**
+     * Returns a function for one decision: the cost of sending the request to an upstream, in units of one running
+     * request. The lowest one is best. What does not depend on the upstream is computed once.
+     */
+    ToDoubleFunction<InstanceState> costs(InstanceSelector.Criteria criteria, long nowMillis);
 
     /** Returns what is added to the cost of an upstream so that routers do not all prefer the same one. */
     double spread(InstanceState upstream, InstanceSelector.Criteria criteria);
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RequestCountPolicy.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/RequestCountPolicy.java
@@ -1,5 +1,7 @@
 package io.laburnummoor.core.process;
 
+import java.util.function.ToDoubleFunction;
+
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.UpstreamLoad;
 import io.laburnummoor.core.version.ForwardService;
@@ -36,11 +38,15 @@
     }
 
     @Override
-    public double cost(InstanceState upstream, InstanceSelector.Criteria criteria, long nowMillis) {
-        ForwardService service = criteria.service();
+    public ToDoubleFunction<InstanceState> costs(InstanceSelector.Criteria criteria, long nowMillis) {
+        boolean spreadWidely = isSpreadWidely(criteria);
+        return upstream -> cost(upstream, criteria.service(), spreadWidely, nowMillis);
+    }
+
+    private double cost(InstanceState upstream, ForwardService service, boolean spreadWidely, long nowMillis) {
         UpstreamLoad total = peerLoads.totalOf(upstream);
         int requests = Math.max(upstream.estimatedLoad(nowMillis), total.inFlight());
-        double cost = isSpreadWidely(criteria) ? occupancyLoad(upstream, requests, total, service) : requests;
+        double cost = spreadWidely ? occupancyLoad(upstream, requests, total, service) : requests;
         return cost + (service.isEngine() ? total.prefillTokens() / PREFILL_TOKENS_PER_REQUEST : 0);
     }
 
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/WorkTimes.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/WorkTimes.java
@@ -11,6 +11,9 @@
     private static final Averages INITIAL = new Averages(5, 4_000, 50, 0);
 
     private static final double SMOOTHING_FACTOR = 0.1;
+    /** Multiple of the mean length of the service's prompts from which a prompt counts as long. */
+    private static final double LONG_PROMPT_FACTOR = 1.3;
+
     /** Shorter prompts are dominated by the duration of one engine step and would distort the rate. */
     static final long MIN_PROMPT_TOKENS = 500;
 
@@ -65,5 +68,15 @@
      * @param callMillis duration of a call to a plain service
      * @param promptTokens length of a prompt in tokens; 0 until one was seen
      */
-    record Averages(double tokensPerMilli, double decodeMillis, double callMillis, double promptTokens) {}
+    record Averages(double tokensPerMilli, double decodeMillis, double callMillis, double promptTokens) {
+        /** Returns the time in which an engine prefills some tokens. */
+        double prefillMillis(long tokens) {
+            return tokens / tokensPerMilli;
+        }
+
+        /** Returns whether a prompt is long in comparison with the others. */
+        boolean isLongPrompt(long tokens) {
+            return promptTokens > 0 && tokens > LONG_PROMPT_FACTOR * promptTokens;
+        }
+    }
 }
