--- a/laburnummoor-wire/src/test/java/io/laburnummoor/wire/process/SecondResponseTest.java
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/process/SecondResponseTest.java
@@ -8,15 +8,12 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import io.laburnummoor.core.connection.Upstream;
-import io.laburnummoor.wire.request.PlainCallListener;
 import io.laburnummoor.wire.request.PlainRequest;
-import io.laburnummoor.wire.request.PlainResponse;
 import io.laburnummoor.wire.request.PlainServiceClient;
+import io.laburnummoor.wire.request.RecordedPlainCall;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -59,30 +56,14 @@
     }
 
     private String callPlain(int port, int number) throws Exception {
-        CompletableFuture<String> result = new CompletableFuture<>();
+        RecordedPlainCall call = new RecordedPlainCall("no response", "no response");
         plain.send(
                 new Upstream("e-1", "desk", "niseko", "127.0.0.1", port, 1, false),
                 new PlainRequest("GET", "/" + number, Map.of(), new byte[0]),
                 true,
                 TIMEOUT_MILLIS,
-                new PlainCallListener() {
-                    @Override
-                    public void onResponse(PlainResponse response) {
-                        result.complete(
-                                response.status() + " " + new String(response.body(), StandardCharsets.US_ASCII));
-                    }
-
-                    @Override
-                    public void onNeverHandedOver(String reason) {
-                        result.complete("no response");
-                    }
-
-                    @Override
-                    public void onLost(String reason) {
-                        result.complete("no response");
-                    }
-                });
-        return result.get(CALL_SECONDS, TimeUnit.SECONDS);
+                call);
+        return call.await(CALL_SECONDS);
     }
 
     @ParameterizedTest(name = "late: {0}")
--- a/laburnummoor-wire/src/test/java/io/laburnummoor/wire/request/BrokenResponseTest.java
+++ b/laburnummoor-wire/src/test/java/io/laburnummoor/wire/request/BrokenResponseTest.java
@@ -9,8 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -59,31 +57,15 @@
     }
 
     private String callPlain(int port, byte[] body, boolean idempotent) throws Exception {
-        CompletableFuture<String> result = new CompletableFuture<>();
+        RecordedPlainCall call = new RecordedPlainCall("never sent", NONE);
         plain.start();
         plain.send(
                 new Upstream("e-1", "desk", "niseko", "127.0.0.1", port, 1, false),
                 new PlainRequest("POST", "/1", Map.of(), body),
                 idempotent,
                 TIMEOUT_MILLIS,
-                new PlainCallListener() {
-                    @Override
-                    public void onResponse(PlainResponse response) {
-                        result.complete(
-                                response.status() + " " + new String(response.body(), StandardCharsets.US_ASCII));
-                    }
-
-                    @Override
-                    public void onNeverHandedOver(String reason) {
-                        result.complete("never sent");
-                    }
-
-                    @Override
-                    public void onLost(String reason) {
-                        result.complete(NONE);
-                    }
-                });
-        return result.get(CALL_SECONDS, TimeUnit.SECONDS);
+                call);
+        return call.await(CALL_SECONDS);
     }
 
     private String call(String client, int port, int bodyBytes) throws Exception {
