--- a/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamNotices.java
+++ b/laburnummoor-gateway/src/main/java/io/laburnummoor/gateway/request/UpstreamNotices.java
@@ -1,9 +1,8 @@
 package io.laburnummoor.gateway.request;
 
-import java.util.concurrent.atomic.AtomicLong;
-
 import io.laburnummoor.core.connection.InstanceState;
 import io.laburnummoor.core.connection.ReportedLoad;
+import io.laburnummoor.core.process.LogInterval;
 import io.laburnummoor.gateway.process.DecisionLog;
 
 /** Records what an upstream says about itself in the head of a response. */
@@ -11,7 +10,7 @@
     /** Upstreams may send a malformed load with each response. */
     private static final long MALFORMED_LOAD_LOG_INTERVAL_MILLIS = 60_000;
 
-    private static final AtomicLong MALFORMED_LOAD_LOGGED_AT_MILLIS = new AtomicLong(Long.MIN_VALUE / 2);
+    private static final LogInterval MALFORMED_LOAD_LOG = new LogInterval(MALFORMED_LOAD_LOG_INTERVAL_MILLIS);
 
     private UpstreamNotices() {}
 
@@ -24,7 +23,7 @@
         if (load != null) {
             upstream.recordReportedLoad(load, nowMillis);
         }
-        if (head.malformedLoad() && isMalformedLoadLogDue(nowMillis)) {
+        if (head.malformedLoad() && MALFORMED_LOAD_LOG.record(nowMillis) > 0) {
             log.line("load_not_read").text("upstream", upstream.instance().id()).write();
         }
         if (head.holdOffMillis() > 0) {
@@ -41,10 +40,4 @@
                     .write();
         }
     }
-
-    private static boolean isMalformedLoadLogDue(long nowMillis) {
-        long last = MALFORMED_LOAD_LOGGED_AT_MILLIS.get();
-        return nowMillis - last >= MALFORMED_LOAD_LOG_INTERVAL_MILLIS
-                && MALFORMED_LOAD_LOGGED_AT_MILLIS.compareAndSet(last, nowMillis);
-    }
 }
