Join the twins of reported load, soundness and queue search

InstanceState computed the reported requests of others in two methods; ServiceLoad repeated the time of InstanceState for which an upstream counts as full and tested soundness in two places; FifoQueue and SortedQueue had the same loop. Results are the same; no test was changed. The tests of these classes, WaitingRequestTest and EngineNoticeTest passed.

--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/connection/InstanceState.java
@@ -24,7 +24,7 @@
     /** Age up to which a reported load is used for estimates. */
     static final long LOAD_VALID_MILLIS = 1_500;
     /** Time for which the upstream counts as full after it refused a request. */
-    static final long FULL_HOLD_MILLIS = 150;
+    public static final long FULL_HOLD_MILLIS = 150;
 
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
     private static final int MAX_DOUBLINGS = 3;
@@ -183,7 +183,7 @@
     /** Returns the age of the last reported load, or -1 if none was reported. */
     public long reportedLoadAgeMillis(long nowMillis) {
         ReceivedLoad last = reportedLoad.get();
-        return last == null ? -1 : nowMillis - last.receivedAtMillis;
+        return last == null ? -1 : last.ageMillis(nowMillis);
     }
 
     /** Records that the upstream responded in any way. */
@@ -202,11 +202,7 @@
      */
     public int estimatedLoad(long nowMillis) {
         ReceivedLoad last = reportedLoad.get();
-        int own = inFlightCount.get();
-        if (last == null || nowMillis - last.receivedAtMillis > LOAD_VALID_MILLIS) {
-            return own;
-        }
-        return own + Math.max(0, last.load.running() + last.load.waiting() - last.inFlightCountAtReport);
+        return inFlightCount.get() + (last == null ? 0 : last.requestsOfOthers(nowMillis));
     }
 
     /**
@@ -219,11 +215,11 @@
     public double estimatedLoad(long nowMillis, double residenceMillis) {
         ReceivedLoad last = reportedLoad.get();
         int own = inFlightCount.get();
-        if (last == null || nowMillis - last.receivedAtMillis > LOAD_VALID_MILLIS) {
+        if (last == null) {
             return own;
         }
-        int others = Math.max(0, last.load.running() + last.load.waiting() - last.inFlightCountAtReport);
-        return own + others * Math.exp(-Math.max(0, nowMillis - last.receivedAtMillis) / residenceMillis);
+        double remainingPart = Math.exp(-Math.max(0, last.ageMillis(nowMillis)) / residenceMillis);
+        return own + last.requestsOfOthers(nowMillis) * remainingPart;
     }
 
     /** Records which prompt parts the upstream reports in its prefix cache. */
@@ -312,6 +308,11 @@
                 && nowMillis < endedAtMillis.get();
     }
 
+    /** Returns whether the upstream may take requests now or after a pause: it is in service and not ejected. */
+    public boolean isSound(long nowMillis) {
+        return isInService(nowMillis) && !isEjected(nowMillis);
+    }
+
     /** Returns whether a request may be sent: the upstream is in service and has not asked for a pause. */
     public boolean acceptsRequests(long nowMillis) {
         return isInService(nowMillis) && nowMillis >= heldOffUntilMillis.get();
@@ -337,5 +338,16 @@
         return failureRate.get();
     }
 
-    private record ReceivedLoad(ReportedLoad load, long receivedAtMillis, int inFlightCountAtReport) {}
+    private record ReceivedLoad(ReportedLoad load, long receivedAtMillis, int inFlightCountAtReport) {
+        long ageMillis(long nowMillis) {
+            return nowMillis - receivedAtMillis;
+        }
+
+        /** Returns the reported requests that were not this router's; none by a report that is too old. */
+        int requestsOfOthers(long nowMillis) {
+            return ageMillis(nowMillis) > LOAD_VALID_MILLIS
+                    ? 0
+                    : Math.max(0, load.running() + load.waiting() - inFlightCountAtReport);
+        }
+    }
 }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/FifoQueue.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/FifoQueue.java
@@ -20,12 +20,7 @@
 
     @Override
     public @Nullable T first(Predicate<? super T> test) {
-        for (T each : items) {
-            if (test.test(each)) {
-                return each;
-            }
-        }
-        return null;
+        return ItemQueue.firstOf(items, test);
     }
 
     @Override
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ItemQueue.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ItemQueue.java
@@ -12,6 +12,16 @@
 interface ItemQueue<T> {
     void add(T item);
 
+    /** Returns the first of some items that passes the test, or null. */
+    static <T> @Nullable T firstOf(Iterable<T> items, Predicate<? super T> test) {
+        for (T each : items) {
+            if (test.test(each)) {
+                return each;
+            }
+        }
+        return null;
+    }
+
     /** Returns the first item that passes the test, or null. The test runs on as few items as the order allows. */
     @Nullable
     T first(Predicate<? super T> test);
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ServiceLoad.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/ServiceLoad.java
@@ -26,9 +26,6 @@
         long roomTokens,
         long reportAgeMillis,
         long nextOpeningMillis) {
-    /** Time for which an upstream is avoided after it refused a request as full. */
-    private static final long FULL_MILLIS = 150;
-
     /** Adds up the load of the upstreams of a service. */
     public static ServiceLoad of(
             List<InstanceState> upstreams, ForwardService service, CapacityLedger ledger, long nowMillis) {
@@ -40,7 +37,7 @@
         long age = -1;
         long opening = Long.MAX_VALUE;
         for (InstanceState each : upstreams) {
-            if (!each.isInService(nowMillis) || each.isEjected(nowMillis)) {
+            if (!each.isSound(nowMillis)) {
                 continue;
             }
             long holdOff = each.remainingHoldOffMillis(nowMillis);
@@ -55,7 +52,7 @@
             free += Math.max(0, each.instance().slots() - load);
             age = Math.max(age, each.reportedLoadAgeMillis(nowMillis));
             if (each.isFull(nowMillis)) {
-                opening = Math.min(opening, FULL_MILLIS);
+                opening = Math.min(opening, InstanceState.FULL_HOLD_MILLIS);
                 continue;
             }
             UpstreamCapacity capacity = ledger.of(each, service, nowMillis);
@@ -67,7 +64,7 @@
     /** Returns whether a place may become free: an upstream is sound, even if it has no room or wants a pause now. */
     public static boolean mayOpen(List<InstanceState> upstreams, long nowMillis) {
         for (InstanceState each : upstreams) {
-            if (each.isInService(nowMillis) && !each.isEjected(nowMillis)) {
+            if (each.isSound(nowMillis)) {
                 return true;
             }
         }
--- a/laburnummoor-core/src/main/java/io/laburnummoor/core/process/SortedQueue.java
+++ b/laburnummoor-core/src/main/java/io/laburnummoor/core/process/SortedQueue.java
@@ -25,12 +25,7 @@
 
     @Override
     public @Nullable T first(Predicate<? super T> test) {
-        for (T each : items) {
-            if (test.test(each)) {
-                return each;
-            }
-        }
-        return null;
+        return ItemQueue.firstOf(items, test);
     }
 
     /** Returns the last item, or null if there is none. */
