--- a/review/standins-2/review2/Engine.java
+++ b/review/standins-2/review2/Engine.java
@@ -115,8 +115,8 @@
         }
     }
 
-    /** Rejects a request for another incarnation, answers a health check, and runs any other request. */
-    private static boolean answer(Case run, String id, Http request, OutputStream out, Behaviour behaviour)
+    /** Rejects a request for another incarnation or without an id, and runs any other one. */
+    static boolean answer(Case run, String id, Http request, OutputStream out, Behaviour behaviour)
             throws Exception {
         String attempt = request.header("X-Laburnummoor-Attempt-Id");
         String expected = request.header("X-Laburnummoor-Expected-Instance");
@@ -129,7 +129,9 @@
             write(out, "HTTP/1.1 400 Bad Request\r\nX-Laburnummoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
-        run.line("run " + attempt + " at " + id);
+        if (run != null) {
+            run.line("run " + attempt + " at " + id);
+        }
         return behaviour.serve(request, out);
     }
 
@@ -138,6 +140,21 @@
         out.flush();
     }
 
+    /** The engine crashes: its port closes, its connections are reset, and it sends nothing more. */
+    void crash() {
+        stopHeartbeats();
+        synchronized (connections) {
+            for (Socket each : connections) {
+                try {
+                    each.setSoLinger(true, 0);
+                } catch (IOException closedBefore) {
+                    continue;
+                }
+            }
+        }
+        close();
+    }
+
     /** The engine exits: its port and all its connections close. */
     @Override
     public void close() {
