--- a/review/standins-2/review2/CaseJoinedBody.java
+++ b/review/standins-2/review2/CaseJoinedBody.java
@@ -16,10 +16,10 @@
     private static final int WORK_MILLIS = 86;
     private static final int CALLERS = 20;
 
-    /** The largest dose of the site for garble with a second answer: x, and the length of one period. */
+    /** The largest dose of the site for garble with a second answer is x 0.03 and 5 s. */
     private static final double SPOILT_SHARE = 0.03;
 
-    private static final long PERIOD_MILLIS = 5_500;
+    private static final long PERIOD_MILLIS = 5_000;
     private static final long PAUSE_MILLIS = 1_000;
     private static final int PERIODS = 6;
 
--- a/review/standins-2/review2/CaseJoinedStream.java
+++ b/review/standins-2/review2/CaseJoinedStream.java
@@ -17,10 +17,10 @@
     private static final int EVENTS = 140;
     private static final int EVENT_MILLIS = 8;
     private static final int CALLERS = 24;
-    /** The largest dose of the site for garble with a second answer: x, and the length of one period. */
+    /** The largest dose of the site for garble with a second answer is x 0.03 and 5 s. */
     private static final double SPOILT_SHARE = 0.03;
 
-    private static final long PERIOD_MILLIS = 5_500;
+    private static final long PERIOD_MILLIS = 5_000;
     private static final long PAUSE_MILLIS = 1_000;
     private static final int PERIODS = 6;
     private static final Pattern ID = Pattern.compile("(?m)^id: ([0-9]+)$");
