--- a/review/standins-2/review2/CaseJoinedBody.java
+++ b/review/standins-2/review2/CaseJoinedBody.java
@@ -2,13 +2,16 @@
 
 import java.io.OutputStream;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * MIXED: three of five engines break off some of its answers and sends a second answer to the same request on the
- * connection. Each success must have the body that the engine made for its request.
+ * MIXED: three of five engines break off some of their answers and send a second answer on the connection, to the same
+ * request or late to the one before. Each success must have the body that the engine made for its request.
  */
 final class CaseJoinedBody {
     private static final String SERVICE = "wuno96b";
@@ -45,6 +48,7 @@
         Random random = new Random(48);
         long startMillis = Threads.nowMillis();
         AtomicInteger spoilt = new AtomicInteger();
+        Map<OutputStream, String> lastIds = Collections.synchronizedMap(new IdentityHashMap<>());
         Engine.Behaviour sound = (request, out) -> {
             Thread.sleep(WORK_MILLIS);
             Engine.write(out, answerTo(request.header("X-Laburnummoor-Attempt-Id")));
@@ -57,7 +61,13 @@
                 boolean spoils = run.trouble && inPeriod && random.nextDouble() < SPOILT_SHARE;
                 missing = spoils ? 1 + random.nextInt(BODY_BYTES - 1) : 0;
             }
-            return missing == 0 ? sound.serve(request, out) : spoil(run, spoilt, request, out, missing);
+            String id = request.header("X-Laburnummoor-Attempt-Id");
+            String earlier = lastIds.put(out, id);
+            if (missing == 0) {
+                return sound.serve(request, out);
+            }
+            boolean late = earlier != null && missing % 2 == 0;
+            return spoil(run, spoilt, id, out, missing, late ? earlier : id);
         };
         try (Store store = new Store();
                 Engine one = new Engine(run, "i-7f3a91c1", SERVICE, "bsas-norte", 6, store, garbling);
@@ -95,15 +105,16 @@
         }
     }
 
-    /** Breaks off an answer and sends a second one to the same request. */
-    private static boolean spoil(Case run, AtomicInteger spoilt, Http request, OutputStream out, int missing)
+    /** Breaks off an answer and sends a second one, to the same request or to the one before on the connection. */
+    private static boolean spoil(
+            Case run, AtomicInteger spoilt, String id, OutputStream out, int missing, String secondId)
             throws Exception {
         Thread.sleep(WORK_MILLIS);
-        String id = request.header("X-Laburnummoor-Attempt-Id");
         String answer = answerTo(id);
         spoilt.incrementAndGet();
-        run.line("engine breaks off its answer to " + id + ", " + missing + " bytes missing, and answers again");
-        Engine.write(out, answer.substring(0, answer.length() - missing) + answer);
+        run.line("engine breaks off its answer to " + id + ", " + missing + " bytes missing, and answers " + secondId
+                + " again");
+        Engine.write(out, answer.substring(0, answer.length() - missing) + answerTo(secondId));
         return false;
     }
 
@@ -134,8 +145,9 @@
                     good.incrementAndGet();
                 } else if (status == 200) {
                     wrong.incrementAndGet();
-                    run.note("MIXED: request " + id + " got 200 with a body that ends in: "
-                            + body.substring(Math.max(0, body.length() - 80)).replace("\r\n", "\\r\\n"));
+                    int second = body.indexOf("HTTP/1.1");
+                    run.note("MIXED: request " + id + " got 200 with a body that goes on behind " + second + " bytes: "
+                            + body.substring(Math.max(0, second)).replace("\r\n", "\\r\\n"));
                 } else {
                     failed.incrementAndGet();
                     run.line("request " + id + " got " + status);
