--- a/review/standins-2/review2/Case.java
+++ b/review/standins-2/review2/Case.java
@@ -10,9 +10,10 @@
 
 /** The frame of a case: its record, its temporary folder, its exit status, and the operator's configuration. */
 final class Case {
-    static final int HELD = 0;
-    static final int BROKEN = 1;
-    static final int NOT_RUN = 2;
+    /** Exit statuses; a virtual machine that fails by itself ends with another one. */
+    static final int HELD = 10;
+    static final int BROKEN = 11;
+    static final int NOT_RUN = 12;
     private static final long LIMIT_MILLIS = 115_000;
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -45,7 +46,7 @@
             run.note("case could not run: " + fault);
             fault.printStackTrace();
         }
-        run.note("trouble " + run.trouble + ", exit " + status);
+        run.note("trouble " + run.trouble + ", " + (status == HELD ? "held" : status == BROKEN ? "broken" : "not run"));
         run.deleteFolder();
         System.exit(status);
     }
