--- a/review/standins-2/review2/Store.java
+++ b/review/standins-2/review2/Store.java
@@ -55,21 +55,15 @@
         return items.containsKey(key);
     }
 
-    /**
-     * Cuts the connections whose watch waits and removes a key in the same moment; waits until there is such a watch
-     * that has waited for some milliseconds.
-     */
-    long cutWaitingWatchesAndRemove(String key, boolean cut, long minWaitedMillis) throws InterruptedException {
+    /** Cuts the connections whose watch waits, once there is one that has waited for some milliseconds. */
+    void cutWaitingWatches(long minWaitedMillis) throws InterruptedException {
         while (true) {
             synchronized (this) {
                 long now = Threads.nowMillis();
                 if (waiting.values().stream().anyMatch(since -> now - since >= minWaitedMillis)) {
-                    if (cut) {
-                        waiting.keySet().forEach(Threads::closeQuietly);
-                        waiting.clear();
-                    }
-                    drop(key);
-                    return now;
+                    waiting.keySet().forEach(Threads::closeQuietly);
+                    waiting.clear();
+                    return;
                 }
             }
             Thread.sleep(1);
