--- a/review/standins-2/review2/Case.java
+++ b/review/standins-2/review2/Case.java
@@ -102,10 +102,16 @@
 
     /** Writes the first configuration. */
     static void configure(Store store, List<Map<String, Object>> services, List<Map<String, Object>> routes) {
+        configure(store, 7, services, routes);
+    }
+
+    /** Writes a configuration. */
+    static void configure(
+            Store store, int version, List<Map<String, Object>> services, List<Map<String, Object>> routes) {
         store.put(
                 "op/config",
                 Json.of(
-                        "Version", 7,
+                        "Version", version,
                         "Routes", routes,
                         "Services", services,
                         "Limits",
--- a/review/standins-2/review2/Engine.java
+++ b/review/standins-2/review2/Engine.java
@@ -73,7 +73,7 @@
         }
     }
 
-    static Object entry(String service, String zone, int slots, int port, long bornMillis, long sequence) {
+    private static Object entry(String service, String zone, int slots, int port, long bornMillis, long sequence) {
         return Json.of(
                 "Service", service,
                 "Address", "127.0.0.1:" + port,
@@ -116,7 +116,7 @@
     }
 
     /** Rejects a request for another incarnation or without an id, and runs any other one. */
-    static boolean answer(Case run, String id, Http request, OutputStream out, Behaviour behaviour)
+    private static boolean answer(Case run, String id, Http request, OutputStream out, Behaviour behaviour)
             throws Exception {
         String attempt = request.header("X-Laburnummoor-Attempt-Id");
         String expected = request.header("X-Laburnummoor-Expected-Instance");
@@ -129,9 +129,7 @@
             write(out, "HTTP/1.1 400 Bad Request\r\nX-Laburnummoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
-        if (run != null) {
-            run.line("run " + attempt + " at " + id);
-        }
+        run.line("run " + attempt + " at " + id);
         return behaviour.serve(request, out);
     }
 
