--- a/review/standins-2/review2/Case.java
+++ b/review/standins-2/review2/Case.java
@@ -137,7 +137,11 @@
         Map<String, Object> service = service(name, connectionLimit);
         service.put(
                 "Engine",
-                Json.of("Slots", slots, "KvCacheTokens", 88_000, "Backups", false, "Models", List.of(Json.of("Name", "m"))));
+                Json.of(
+                        "Slots", slots,
+                        "KvCacheTokens", 88_000,
+                        "Backups", false,
+                        "Models", List.of(Json.of("Name", "m"))));
         return service;
     }
 }
--- a/review/standins-2/review2/CaseCutWatch.java
+++ b/review/standins-2/review2/CaseCutWatch.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * DRAIN: the store cuts a watch that waits, and then an engine leaves whose entry is removed without a notice of draining.
- * No request may reach the engine later than DrainMs after the store has accepted the removal.
+ * DRAIN: the store cuts a watch that waits, and then an engine leaves whose entry is removed without a notice of
+ * draining. No request may reach the engine later than DrainMs after the store has accepted the removal.
  */
 final class CaseCutWatch {
     private static final String SERVICE = "wuno96b";
@@ -55,8 +55,9 @@
                 each.join();
             }
         }
-        run.note("answered " + answered + ", ended without a success " + lost + ", requests that reached an engine later than "
-                + DRAIN_MILLIS + " ms after its entry was removed " + late);
+        run.note("answered " + answered + ", ended without a success " + lost
+                + ", requests that reached an engine later than " + DRAIN_MILLIS + " ms after its entry was removed "
+                + late);
         if (answered.get() < 200) {
             throw new IllegalStateException("too few requests were served");
         }
@@ -98,8 +99,8 @@
             Thread.sleep(WORK_MILLIS);
             String body = "done " + id;
             Engine.write(out, "HTTP/1.1 200 OK\r\nX-Laburnummoor-Attempt-Id: " + id
-                    + "\r\nX-Laburnummoor-Server-Seal: 3e1b.07." + id + "\r\nX-Laburnummoor-Server-Load: 1,0,6\r\nContent-Length: "
-                    + body.length() + "\r\n\r\n" + body);
+                    + "\r\nX-Laburnummoor-Server-Seal: 3e1b.07." + id
+                    + "\r\nX-Laburnummoor-Server-Load: 1,0,6\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
             return true;
         };
     }
--- a/review/standins-2/review2/CaseJoinedStream.java
+++ b/review/standins-2/review2/CaseJoinedStream.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * ORDER: three of five engines spoil some of their streams: these have no length, break off, and a second answer follows
- * on the connection, to the same request or late to the one before. The events that a client gets must be those that the
- * engines made for its request.
+ * ORDER: three of five engines spoil some of their streams: these have no length, break off, and a second answer
+ * follows on the connection, to the same request or late to the one before. The events that a client gets must be those
+ * that the engines made for its request.
  */
 final class CaseJoinedStream {
     private static final String SERVICE = "huvo11a";
--- a/review/standins-2/review2/CaseQuarantinedRoute.java
+++ b/review/standins-2/review2/CaseQuarantinedRoute.java
@@ -2,12 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * CONFIG: a route is added, whose clients all read one path; then all engines of the service crash in one moment and are
- * back after 1.2 s. In the steady state after that, requests on the added route must be served at least a quarter as
+ * CONFIG: a route is added, whose clients all read one path; then all engines of the service crash in one moment and
+ * are back after 1.2 s. In the steady state after that, requests on the added route must be served at least a quarter as
  * often as those on the first route.
  */
 final class CaseQuarantinedRoute {
@@ -16,14 +17,20 @@
     private static final List<String> ZONES = List.of("bsas-norte", "bsas-centro", "bsas-sur");
 
     private static final int WORK_MILLIS = 86;
-    private static final int CALLERS = 12;
+    private static final int FIRST_CALLERS = 6;
+    /** With fewer, the crash may find none of their calls on one of the three engines. */
+    private static final int ADDED_CALLERS = 18;
+
     private static final long PAUSE_MILLIS = 50;
-    private static final long RUN_BEFORE_MILLIS = 5_000;
+    private static final long RUN_BEFORE_MILLIS = 4_000;
     private static final long DOWN_MILLIS = 1_200;
+    /** From the moment at which the engines stop until their connections are reset. */
+    private static final long TEARDOWN_MILLIS = 20;
+
     /** ContactMs after the engines are back, and as much again. */
     private static final long SETTLE_MILLIS = 6_000;
 
-    private static final long JUDGED_MILLIS = 40_000;
+    private static final long JUDGED_MILLIS = 30_000;
     private static final int MIN_REQUESTS = 20;
 
     private final Case run;
@@ -63,12 +70,11 @@
     }
 
     private boolean play(Gateway gateway) throws Exception {
-        Case.configure(
-                store, 7, List.of(Case.service(SERVICE, 96)), List.of(route("r-first", "/puxa403/")));
+        Case.configure(store, List.of(Case.service(SERVICE, 96)), List.of(route("r-first", "/puxa403/")));
         List<Engine> engines = startEngines("a");
         gateway.awaitReady();
         List<Thread> callers = new ArrayList<>();
-        for (int i = 0; i < CALLERS; i++) {
+        for (int i = 0; i < FIRST_CALLERS; i++) {
             callers.add(Threads.start("first", () -> call(gateway, first, false)));
         }
         Thread.sleep(RUN_BEFORE_MILLIS);
@@ -79,12 +85,14 @@
                 List.of(route("r-first", "/puxa403/"), route("r-added", "/tolo118/")));
         run.line("the store has accepted version 8, which adds the route r-added");
         Thread.sleep(SETTLE_MILLIS);
-        for (int i = 0; i < CALLERS; i++) {
+        for (int i = 0; i < ADDED_CALLERS; i++) {
             callers.add(Threads.start("added", () -> call(gateway, added, true)));
         }
         Thread.sleep(RUN_BEFORE_MILLIS);
         if (run.trouble) {
             run.line("all engines crash");
+            engines.forEach(Engine::halt);
+            Thread.sleep(TEARDOWN_MILLIS);
             engines.forEach(Engine::crash);
             Thread.sleep(DOWN_MILLIS);
             List<Engine> crashed = engines;
@@ -100,14 +108,15 @@
             each.join();
         }
         engines.forEach(Engine::close);
-        run.note("in " + JUDGED_MILLIS + " ms of steady state, served on the first route " + first + ", on the added one " + added);
+        run.note("in " + JUDGED_MILLIS + " ms of steady state, served on the first route " + first
+                + ", on the added one " + added);
         if (first.sent.get() < MIN_REQUESTS || added.sent.get() < MIN_REQUESTS || first.share() < 0.5) {
             throw new IllegalStateException("too few requests were served");
         }
         return added.share() >= first.share() / 4;
     }
 
-    private static java.util.Map<String, Object> route(String name, String prefix) {
+    private static Map<String, Object> route(String name, String prefix) {
         return Case.route(name, prefix, "idempotent", SERVICE, 1_500);
     }
 
@@ -120,7 +129,8 @@
                 String body = "read by " + id;
                 Engine.write(out, "HTTP/1.1 200 OK\r\nX-Laburnummoor-Attempt-Id: " + id
                         + "\r\nX-Laburnummoor-Server-Seal: 3e1b.07." + id
-                        + "\r\nX-Laburnummoor-Server-Load: 1,0,6\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                        + "\r\nX-Laburnummoor-Server-Load: 1,0,6\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                        + body);
                 return true;
             });
             engines.add(engine);
--- a/review/standins-2/review2/Engine.java
+++ b/review/standins-2/review2/Engine.java
@@ -1,6 +1,7 @@
 package review2;
 
 import java.io.BufferedInputStream;
+import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -32,6 +33,7 @@
     private final long bornMillis = System.currentTimeMillis();
     private long sequence;
     private volatile boolean listed;
+    private volatile boolean halted;
     private volatile boolean closed;
 
     Engine(Case run, String id, String service, String zone, int slots, Store store, Behaviour behaviour)
@@ -100,10 +102,10 @@
     private void serve(Socket socket) throws Exception {
         try (socket) {
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
-            OutputStream out = socket.getOutputStream();
+            OutputStream out = new Output(socket.getOutputStream());
             boolean open = true;
             for (Http request = Http.readRequest(in); open && request != null; request = Http.readRequest(in)) {
-                open = answer(run, id, request, out, behaviour);
+                open = answer(request, out);
                 if (!open) {
                     return;
                 }
@@ -116,8 +118,7 @@
     }
 
     /** Rejects a request for another incarnation or without an id, and runs any other one. */
-    private static boolean answer(Case run, String id, Http request, OutputStream out, Behaviour behaviour)
-            throws Exception {
+    private boolean answer(Http request, OutputStream out) throws Exception {
         String attempt = request.header("X-Laburnummoor-Attempt-Id");
         String expected = request.header("X-Laburnummoor-Expected-Instance");
         if (!expected.isEmpty() && !expected.equals(id)) {
@@ -138,6 +139,27 @@
         out.flush();
     }
 
+    /** The output of a connection, on which an engine that has stopped writes nothing more. */
+    private final class Output extends FilterOutputStream {
+        Output(OutputStream out) {
+            super(out);
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) throws IOException {
+            if (halted) {
+                throw new IOException("the engine has stopped");
+            }
+            out.write(bytes, offset, length);
+        }
+    }
+
+    /** The engine stops in the middle of its work, as at the moment of a crash; its connections are still there. */
+    void halt() {
+        halted = true;
+        stopHeartbeats();
+    }
+
     /** The engine crashes: its port closes, its connections are reset, and it sends nothing more. */
     void crash() {
         stopHeartbeats();
--- a/review/standins-2/review2/Gateway.java
+++ b/review/standins-2/review2/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.HttpURLConnection;
 import java.net.InetAddress;
@@ -11,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -19,6 +21,8 @@
 final class Gateway implements AutoCloseable {
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([\\w.]+)(\\|json)?}}");
     private static final long START_MILLIS = 30_000;
+    private static final int FIRST_PORT = 20_000;
+    private static final int LAST_PORT = 32_000;
 
     final String host;
     final int callerPort;
@@ -81,13 +85,15 @@
         });
     }
 
-    static int freePort(String host) throws IOException {
+    /** Returns a port below those that the system gives to outgoing connections. */
+    private static int freePort(String host) throws IOException {
         InetAddress address = InetAddress.getByName(host);
         while (true) {
-            try (ServerSocket tcp = new ServerSocket(0, 1, address);
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket tcp = new ServerSocket(port, 1, address);
                     DatagramSocket udp = new DatagramSocket(tcp.getLocalPort(), address)) {
                 return udp.getLocalPort();
-            } catch (java.net.BindException taken) {
+            } catch (BindException taken) {
                 continue;
             }
         }
