--- a/review/standins-2/review2/CaseCutWatch.java
+++ b/review/standins-2/review2/CaseCutWatch.java
@@ -71,12 +71,13 @@
         try (Engine leaving = new Engine(run, id, SERVICE, "bsas-norte", 6, store, working(run, removedAt, late))) {
             leaving.list();
             Thread.sleep(WARM_UP_MILLIS);
+            // The beats of two engines can answer each watch at once, so that none ever waits.
+            leaving.stopHeartbeats();
             if (run.trouble) {
                 store.cutWaitingWatches(20);
                 run.line("the store has cut a watch that waited");
             }
             Thread.sleep(pauseMillis);
-            leaving.stopHeartbeats();
             store.remove(leaving.key());
             removedAt.set(Threads.nowMillis());
             run.line("the store has removed the entry of " + id);
